--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# make demo      the whole path on loopback, as separate processes
+# make test      formatter, linter, vet and every test
+# make explore   a longer search for failures of the ownership rules
+# make bench     the measurements of docs/MEASUREMENTS.md
+# make capacity  the slopes of docs/CAPACITY.md
+
+GO ?= go
+
+.PHONY: build demo test lint unit scenarios explore bench capacity plots generate fuzz
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+test: lint unit
+
+lint:
+	@test -z "$$(cd tools && $(GO) tool gofumpt -l ../cmd ../pkg ../*.go | grep -v peerv1)" || { cd tools && $(GO) tool gofumpt -l ../cmd ../pkg ../*.go; exit 1; }
+	cd tools && $(GO) build -o ../bin/revive github.com/mgechev/revive
+	./bin/revive -config revive.toml -set_exit_status -exclude ./pkg/peer/peerv1/... ./...
+	$(GO) vet ./...
+
+unit:
+	./scripts/unit.sh
+
+explore:
+	$(GO) test ./pkg/ownership -run TestOwnership -rapid.checks=20000 -rapid.steps=120 -timeout 30m
+
+generate:
+	buf generate
--- /dev/null
+++ b/cmd/redwingstall/main.go
@@ -0,0 +1,12 @@
+// Command redwingstall is the router's daemon and its operators' tool.
+package main
+
+import (
+	"os"
+
+	"github.com/redwingstall/redwingstall/pkg/app"
+)
+
+func main() {
+	os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/pkg/app/calls.go
@@ -0,0 +1,302 @@
+package app
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/journal"
+	"github.com/redwingstall/redwingstall/pkg/operator"
+)
+
+// apiCall is one command or query against an entry instance.
+type apiCall func(ctx context.Context, client *operator.Client, out printer) error
+
+// callOf returns the call that the arguments name.
+func callOf(a Arguments) (apiCall, bool) {
+	for _, find := range []func(Arguments) apiCall{
+		templateCall, accountCall, domainCall, serverCall, outcomeCall, otherCall,
+	} {
+		if call := find(a); call != nil {
+			return call, true
+		}
+	}
+	return nil, false
+}
+
+func templateCall(a Arguments) apiCall {
+	switch c := a.Template; {
+	case c == nil:
+		return nil
+	case c.Publish != nil:
+		return sendFile("/v1/templates", *c.Publish)
+	case c.List != nil:
+		return query("/v1/templates", printNames)
+	case c.Show != nil:
+		return query("/v1/templates/"+operator.Segment(c.Show.Name), printIndented)
+	}
+	return nil
+}
+
+func accountCall(a Arguments) apiCall {
+	switch c := a.Account; {
+	case c == nil:
+		return nil
+	case c.Set != nil:
+		return sendFile("/v1/accounts", *c.Set)
+	case c.List != nil:
+		return query("/v1/accounts", printNames)
+	case c.Show != nil:
+		return query("/v1/accounts/"+operator.Segment(c.Show.Name), printIndented)
+	case c.Render != nil:
+		return query("/v1/accounts/"+operator.Segment(c.Render.Name)+"/render", printIndented)
+	}
+	return nil
+}
+
+func domainCall(a Arguments) apiCall {
+	switch c := a.Domain; {
+	case c == nil:
+		return nil
+	case c.TakeOut != nil:
+		return command("/v1/domains/"+operator.Segment(c.TakeOut.Name)+"/take-out", nil, 0, printAccepted)
+	case c.Return != nil:
+		return command("/v1/domains/"+operator.Segment(c.Return.Name)+"/return", nil, 0, printAccepted)
+	case c.Status != nil:
+		return query("/v1/domains", printDomains)
+	}
+	return nil
+}
+
+func serverCall(a Arguments) apiCall {
+	path := func(name *ServerNameArg, action string) string {
+		return fmt.Sprintf("/v1/servers/%s/%s/%s", operator.Segment(name.Account), operator.Segment(name.Name), action)
+	}
+	switch c := a.Server; {
+	case c == nil:
+		return nil
+	case c.List != nil:
+		return query("/v1/servers", printServers)
+	case c.Leave != nil:
+		return command(path(c.Leave, "leave"), nil, 0, printAccepted)
+	case c.Return != nil:
+		return command(path(c.Return, "return"), nil, 0, printAccepted)
+	}
+	return nil
+}
+
+func outcomeCall(a Arguments) apiCall {
+	path := func(name ServiceNameArg) string {
+		return fmt.Sprintf("/v1/outcomes/%s/%s", operator.Segment(name.Account), operator.Segment(name.Service))
+	}
+	switch c := a.Outcome; {
+	case c == nil:
+		return nil
+	case c.List != nil:
+		return query(path(*c.List), printUnknown)
+	case c.Resolve != nil:
+		return resolve(path(c.Resolve.ServiceNameArg)+"/resolve", *c.Resolve)
+	}
+	return nil
+}
+
+func otherCall(a Arguments) apiCall {
+	switch {
+	case a.Key != nil && a.Key.Locate != nil:
+		c := a.Key.Locate
+		key := strings.ReplaceAll(operator.Segment(c.Key), "%2F", "/")
+		return query(fmt.Sprintf("/v1/keys/%s/%s/%s", operator.Segment(c.Account), operator.Segment(c.Service), key), printKey)
+	case a.Member != nil && a.Member.Gone != nil:
+		return command("/v1/members/"+operator.Segment(a.Member.Gone.Name)+"/gone", nil, 0, printAccepted)
+	case a.Status != nil && a.Status.Watch > 0:
+		return watchStatus(a.Status.Watch)
+	case a.Status != nil:
+		return query("/v1/status", printStatus)
+	case a.Counters != nil:
+		prefix := a.Counters.Prefix
+		return query("/v1/counters", func(w io.Writer, values map[string]int64) { printCounters(w, values, prefix) })
+	}
+	return nil
+}
+
+func query[T any](path string, render func(io.Writer, T)) apiCall {
+	return func(ctx context.Context, client *operator.Client, out printer) error {
+		body, err := client.Query(ctx, path)
+		if err != nil {
+			return err
+		}
+		return show(out, body, render)
+	}
+}
+
+func command[T any](path string, body []byte, expected redwingstall.Revision, render func(io.Writer, T)) apiCall {
+	return func(ctx context.Context, client *operator.Client, out printer) error {
+		answer, err := client.Command(ctx, path, body, expected)
+		if err != nil {
+			return err
+		}
+		return show(out, answer, render)
+	}
+}
+
+func sendFile(path string, c FileCommand) apiCall {
+	return func(ctx context.Context, client *operator.Client, out printer) error {
+		text, err := os.ReadFile(c.File)
+		if err != nil {
+			return errors.Mark(err, errUsage)
+		}
+		path += "?file=" + operator.Segment(filepath.Base(c.File))
+		if c.Force {
+			path += "&force=true"
+		}
+		return command(path, text, redwingstall.Revision(c.Expect), printAccepted)(ctx, client, out)
+	}
+}
+
+func resolve(path string, c ResolveCommand) apiCall {
+	return func(ctx context.Context, client *operator.Client, out printer) error {
+		if c.Ran == c.NotRun {
+			return errors.Mark(errors.New("say either --ran or --not-run"), errUsage)
+		}
+		body, err := json.Marshal(struct {
+			Key string `json:"key"`
+			Ran bool   `json:"ran"`
+		}{c.Key, c.Ran})
+		if err != nil {
+			return err
+		}
+		return command(path, body, 0, func(w io.Writer, _ map[string]any) { fmt.Fprintln(w, "resolved") })(ctx, client, out)
+	}
+}
+
+// watchStatus shows the status until the program is ended.
+func watchStatus(period time.Duration) apiCall {
+	return func(ctx context.Context, client *operator.Client, out printer) error {
+		const clearScreen = "\033[H\033[2J"
+		for {
+			if !out.asJSON {
+				fmt.Fprint(out.out, clearScreen)
+			}
+			if err := query("/v1/status", printStatus)(ctx, client, out); err != nil {
+				return err
+			}
+			time.Sleep(period)
+		}
+	}
+}
+
+func clientTLS(authority string) (*tls.Config, error) {
+	if authority == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, errors.Newf("%s holds no certificate", authority)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool}, nil
+}
+
+func printNames(w io.Writer, names operator.Names) {
+	for _, name := range names.Names {
+		fmt.Fprintln(w, name)
+	}
+}
+
+func printIndented(w io.Writer, value any) {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		fmt.Fprintln(w, err)
+		return
+	}
+	fmt.Fprintln(w, string(text))
+}
+
+func printAccepted(w io.Writer, accepted operator.Accepted) {
+	state := "the instances are being told"
+	if accepted.InForce {
+		state = "in force"
+	}
+	fmt.Fprintf(w, "accepted as revision %d, %s\n", accepted.Revision, state)
+}
+
+// table prints rows in columns.
+func table(w io.Writer, rows ...[]any) {
+	tabs := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		cells := make([]string, len(row))
+		for i, cell := range row {
+			cells[i] = fmt.Sprint(cell)
+		}
+		fmt.Fprintln(tabs, strings.Join(cells, "\t"))
+	}
+	_ = tabs.Flush()
+}
+
+func printDomains(w io.Writer, domains []operator.DomainRow) {
+	rows := [][]any{{"FAILURE DOMAIN", "STATE", "BY"}}
+	for _, domain := range domains {
+		state, by := "in use", ""
+		if domain.Out {
+			state, by = "out", "quiet hours"
+		}
+		if domain.TakenOut {
+			by = "operator"
+		}
+		rows = append(rows, []any{domain.Name, state, by})
+	}
+	table(w, rows...)
+}
+
+func printServers(w io.Writer, servers []operator.ServerRow) {
+	rows := [][]any{{"ACCOUNT", "SERVICE", "SERVER", "FAILURE DOMAIN", "ADDRESS", "NEW WORK", "ENTRIES"}}
+	for _, s := range servers {
+		rows = append(rows, []any{s.Account, s.Service, s.Name, s.FailureDomain, s.Address, s.MayWork, s.Entries})
+	}
+	table(w, rows...)
+}
+
+func printKey(w io.Writer, key operator.KeyRow) {
+	table(w, []any{"KEY", "SHARD", "OWNER", "FENCE", "STATE"}, []any{key.Key, key.Shard, key.Owner, key.Fence, key.State})
+}
+
+func printUnknown(w io.Writer, list struct {
+	Unknown []journal.Unknown `json:"unknown"`
+},
+) {
+	rows := [][]any{{"IDEMPOTENCY KEY", "REQUEST", "STARTED"}}
+	for _, row := range list.Unknown {
+		rows = append(rows, []any{row.Key, row.Path, row.Started.Format(time.RFC3339)})
+	}
+	table(w, rows...)
+}
+
+func printCounters(w io.Writer, values map[string]int64, prefix string) {
+	names := []string{}
+	for name := range values {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	rows := [][]any{}
+	for _, name := range names {
+		rows = append(rows, []any{name, values[name]})
+	}
+	table(w, rows...)
+}
--- /dev/null
+++ b/pkg/control/status.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/assignment"
+	"github.com/redwingstall/redwingstall/pkg/home"
+	"github.com/redwingstall/redwingstall/pkg/templates"
+)
+
+// Status is what operators see of the coordination.
+type Status struct {
+	Instance        string                           `json:"instance"`
+	FailureDomain   string                           `json:"failureDomain"`
+	Ready           bool                             `json:"ready"`
+	StoreHealthy    bool                             `json:"storeHealthy"`
+	Confirmed       bool                             `json:"confirmed"`
+	MemberRevision  redwingstall.Revision            `json:"memberRevision"`
+	ConfigRevision  redwingstall.Revision            `json:"configRevision"`
+	Members         []MemberStatus                   `json:"members"`
+	FailureDomains  map[string]bool                  `json:"failureDomainsOut"`
+	Services        []ServiceStatus                  `json:"services"`
+	Pools           []home.PoolStatus                `json:"pools"`
+	Moves           []Move                           `json:"moves"`
+	RecordRevisions map[string]redwingstall.Revision `json:"recordRevisions"`
+}
+
+// MemberStatus is one member as this instance sees it.
+type MemberStatus struct {
+	ID            string                `json:"id"`
+	FailureDomain string                `json:"failureDomain"`
+	State         string                `json:"state"`
+	AppliedConfig redwingstall.Revision `json:"appliedConfig"`
+	Lags          bool                  `json:"lags"`
+}
+
+// ServiceStatus is the shards of a keyed service by state.
+type ServiceStatus struct {
+	Name     string                `json:"name"`
+	Revision redwingstall.Revision `json:"revision"`
+	Shards   map[string]int        `json:"shards"`
+	HotKeys  int                   `json:"hotKeys"`
+}
+
+// Status returns what this instance knows.
+func (c *Control) Status() Status {
+	now := c.now()
+	snapshot := c.parts.View.Snapshot()
+	members, memberRevision := c.parts.Voter.Members()
+	status := Status{
+		Instance:        c.common.Self.ID,
+		FailureDomain:   c.common.Self.FailureDomain,
+		Ready:           c.IsReady(),
+		StoreHealthy:    c.IsStoreHealthy(),
+		Confirmed:       c.parts.Candidate.IsConfirmed(now),
+		MemberRevision:  memberRevision,
+		ConfigRevision:  snapshot.Revision,
+		FailureDomains:  map[string]bool{},
+		Pools:           c.parts.Homes.Status(now),
+		RecordRevisions: c.parts.Voter.Revisions(),
+	}
+	states, applied := c.parts.Voter.States()
+	for _, member := range members.Current {
+		state, revision := string(states[member.ID]), applied[member.ID]
+		if member.ID == c.common.Self.ID {
+			state, revision = "self", snapshot.Revision
+		}
+		status.Members = append(status.Members, MemberStatus{
+			ID:            member.ID,
+			FailureDomain: member.FailureDomain,
+			State:         state,
+			AppliedConfig: revision,
+			Lags:          revision < snapshot.Revision,
+		})
+	}
+	for account, deployment := range snapshot.Deployments {
+		for _, domain := range deployment.FailureDomains() {
+			status.FailureDomains[domain] = c.parts.View.IsOut(domain, now)
+		}
+		for _, service := range deployment.Services {
+			if service.Kind == templates.KindKeyed {
+				status.Services = append(status.Services, c.serviceStatus(account, service.Name))
+			}
+		}
+	}
+	c.movers.mu.Lock()
+	defer c.movers.mu.Unlock()
+	status.Moves = append(status.Moves, c.movers.moves...)
+	return status
+}
+
+func (c *Control) serviceStatus(account, service string) ServiceStatus {
+	record, revision := c.parts.View.Assignment(account, service)
+	status := ServiceStatus{
+		Name:     account + "/" + service,
+		Revision: revision,
+		Shards:   map[string]int{},
+		HotKeys:  len(record.Hot),
+	}
+	for _, entry := range record.Shards {
+		state := string(entry.State)
+		if entry.State == assignment.ShardUnowned {
+			state = "unowned"
+		}
+		status.Shards[state]++
+	}
+	return status
+}
--- /dev/null
+++ b/pkg/home/call.go
@@ -0,0 +1,212 @@
+package home
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/admission"
+	"github.com/redwingstall/redwingstall/pkg/assignment"
+	"github.com/redwingstall/redwingstall/pkg/backend"
+	"github.com/redwingstall/redwingstall/pkg/templates"
+)
+
+// Call is one attempt that a pool's home instance carries out.
+type Call struct {
+	Pool       string
+	Key        string
+	Avoid      string
+	Background bool
+	// Deadline of the whole attempt.
+	Deadline time.Time
+	Method   string
+	// Query of the request, without the question mark.
+	Query  string
+	Header http.Header
+	Body   io.Reader
+	Length int64
+	ID     string
+}
+
+// Reasons for which a home instance refuses an attempt.
+const (
+	ReasonNotHome  = "notHome"
+	ReasonNoOwner  = "noOwner"
+	ReasonLapsed   = "rightLapsed"
+	ReasonTooLate  = "tooLate"
+	ReasonStopping = "stopping"
+)
+
+// Do admits an attempt, sends it and returns the server's answer. The slot is
+// held until the answer's body is closed. Errors are *[backend.AttemptError].
+func (h *Homes) Do(ctx context.Context, call Call) (*http.Response, error) {
+	p := h.pool(call.Pool)
+	if p == nil || !p.isActing(h.common.Clock.Now()) {
+		return nil, backend.NotRun(ReasonNotHome)
+	}
+	owner, err := p.owner(call)
+	if err != nil {
+		return nil, err
+	}
+	lease, err := p.admission.Acquire(ctx, admission.Request{
+		Server:     owner.server,
+		Avoid:      call.Avoid,
+		Background: call.Background || p.info.Service.Background,
+		Deadline:   call.Deadline,
+	})
+	if err != nil {
+		refusal := &admission.RefusalError{}
+		if errors.As(err, &refusal) {
+			return nil, backend.NotRun(refusal.Reason)
+		}
+		return nil, backend.NotRun(ReasonStopping)
+	}
+	return p.send(ctx, call, owner, lease)
+}
+
+// ownership is the grant under which a keyed request runs.
+type ownership struct {
+	server string
+	shard  string
+	fence  int64
+}
+
+// owner finds the server of a keyed request in this instance's own record: the
+// entry instance's may be older.
+func (p *pool) owner(call Call) (ownership, error) {
+	if p.info.Service.Kind != templates.KindKeyed {
+		return ownership{}, nil
+	}
+	record, _ := p.homes.view.Assignment(p.info.Account, p.info.Service.Name)
+	name, entry, found := record.Locate(call.Key)
+	if !found || entry.State != assignment.ShardOwned {
+		return ownership{}, backend.NotRun(ReasonNoOwner)
+	}
+	if p.server(entry.Owner) == nil {
+		return ownership{}, backend.NotRun(ReasonNotHome)
+	}
+	return ownership{server: entry.Owner, shard: name, fence: entry.Fence}, nil
+}
+
+func (p *pool) send(ctx context.Context, call Call, owner ownership, lease *admission.Lease) (*http.Response, error) {
+	s := p.server(lease.Server())
+	now := p.homes.common.Clock.Now()
+	if s == nil || !p.isActing(now) {
+		lease.End(admission.VerdictCanceled)
+		return nil, backend.NotRun(ReasonLapsed)
+	}
+	if owner.shard != "" {
+		s.loads.add(owner.shard, call.Key)
+	}
+	started := now
+	answer, err := s.client.Do(ctx, p.request(call, owner, s, now))
+	took := p.homes.common.Clock.Now().Sub(started)
+	if err != nil {
+		p.failed(ctx, s, lease, err, took)
+		return nil, err
+	}
+	answer.Header.Set(redwingstall.HeaderServer, s.config.Name)
+	answer.Body = &leasedBody{ReadCloser: answer.Body, end: func(verdict admission.Verdict) {
+		lease.EndAfter(verdict, took)
+	}}
+	return answer, nil
+}
+
+// request makes the server's request. Its deadline goes along twice: as the
+// time left, and for at-most-once requests as an instant on the server's own
+// clock, which a pause on the way does not stretch.
+func (p *pool) request(call Call, owner ownership, s *server, now time.Time) backend.Request {
+	header := call.Header.Clone()
+	header.Set(redwingstall.HeaderHome, p.homes.common.Self.ID)
+	header.Set(redwingstall.HeaderTimeout, call.Deadline.Sub(now).String())
+	isAtMostOnce := p.info.Service.Kind == templates.KindAtMostOnce
+	if owner.shard != "" {
+		header.Set(redwingstall.HeaderShard, owner.shard)
+		header.Set(redwingstall.HeaderFence, strconv.FormatInt(owner.fence, 10))
+	}
+	if isAtMostOnce {
+		s.mu.Lock()
+		notAfter := s.issuer.ClockAt(call.Deadline)
+		s.mu.Unlock()
+		header.Set(redwingstall.HeaderNotAfter, strconv.FormatInt(notAfter.Nanoseconds(), 10))
+	}
+	path := fmt.Sprintf("/%s/%s", p.info.Service.Name, call.Key)
+	if call.Query != "" {
+		path += "?" + call.Query
+	}
+	return backend.Request{
+		Method:     call.Method,
+		Path:       path,
+		Header:     header,
+		Body:       call.Body,
+		Length:     call.Length,
+		ID:         call.ID,
+		AtMostOnce: isAtMostOnce,
+	}
+}
+
+// failed teaches the pool from an attempt without an answer.
+func (p *pool) failed(ctx context.Context, s *server, lease *admission.Lease, err error, took time.Duration) {
+	attempt := &backend.AttemptError{}
+	if !errors.As(err, &attempt) {
+		lease.EndAfter(admission.VerdictFailed, took)
+		return
+	}
+	p.homes.common.Count("attempts." + string(attempt.Outcome) + "." + attempt.Reason)
+	switch redwingstall.Refusal(attempt.Reason) {
+	case redwingstall.RefusalShed:
+		lease.EndAfter(admission.VerdictShed, took)
+		return
+	case redwingstall.RefusalDraining:
+		s.noteDraining()
+		lease.EndAfter(admission.VerdictRefused, took)
+		p.refresh(p.homes.common.Clock.Now())
+		return
+	case redwingstall.RefusalNotOwner, redwingstall.RefusalLate:
+		lease.EndAfter(admission.VerdictRefused, took)
+		s.wake()
+		return
+	}
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		lease.EndAfter(admission.VerdictCanceled, took)
+		return
+	}
+	lease.EndAfter(admission.VerdictFailed, took)
+	s.wake()
+}
+
+// leasedBody gives the slot back when the answer has been read or dropped.
+type leasedBody struct {
+	io.ReadCloser
+	once   sync.Once
+	failed bool
+	end    func(admission.Verdict)
+}
+
+func (b *leasedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed = true
+	}
+	return n, err
+}
+
+// Close ends the lease.
+func (b *leasedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(func() {
+		if b.failed {
+			b.end(admission.VerdictFailed)
+			return
+		}
+		b.end(admission.VerdictSuccess)
+	})
+	return err
+}
--- /dev/null
+++ b/pkg/livelist/client.go
@@ -0,0 +1,43 @@
+// Package livelist speaks to the platform's list of live and leaving instances.
+package livelist
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/wire"
+)
+
+// ListResponse has the rows of the list.
+type ListResponse struct {
+	Instances []redwingstall.ListedInstance `json:"instances"`
+}
+
+// Client is a [redwingstall.LiveList] over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// NewClient returns a client of the list at an address.
+func NewClient(address string, timeout time.Duration) *Client {
+	return &Client{base: "http://" + address + "/v1/instances/", http: &http.Client{Timeout: timeout}}
+}
+
+var _ redwingstall.LiveList = (*Client)(nil)
+
+// Instances returns the rows.
+func (c *Client) Instances(ctx context.Context) ([]redwingstall.ListedInstance, error) {
+	response, err := wire.Call[struct{}, ListResponse](ctx, c.http, c.base+"list", struct{}{})
+	return response.Instances, errors.Wrap(err, "live list")
+}
+
+// Announce adds or changes a row.
+func (c *Client) Announce(ctx context.Context, row redwingstall.ListedInstance) error {
+	_, err := wire.Call[redwingstall.ListedInstance, struct{}](ctx, c.http, c.base+"announce", row)
+	return errors.Wrap(err, "live list")
+}
