--- /dev/null
+++ b/pkg/admission/pool_test.go
@@ -0,0 +1,213 @@
+package admission_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/admission"
+)
+
+func openPool(names ...string) *admission.Pool {
+	pool := admission.NewPool(redwingstall.SystemClock{})
+	configs := []admission.ServerConfig{}
+	for _, name := range names {
+		configs = append(configs, admission.ServerConfig{Name: name, Slots: 4, ColdLimit: 1})
+	}
+	pool.Configure(configs)
+	pool.Open()
+	for _, name := range names {
+		pool.Observe(name, admission.Observation{Boot: "b1", Open: true})
+	}
+	return pool
+}
+
+func within(duration time.Duration) admission.Request {
+	return admission.Request{Deadline: time.Now().Add(duration)}
+}
+
+func reasonOf(t *testing.T, err error) string {
+	refusal := &admission.RefusalError{}
+	require.True(t, errors.As(err, &refusal), "%v", err)
+	return refusal.Reason
+}
+
+// warm takes a server through its ramp.
+func warm(t *testing.T, pool *admission.Pool, server string) {
+	for range 30 {
+		request := within(time.Minute)
+		request.Server = server
+		lease, err := pool.Acquire(t.Context(), request)
+		require.NoError(t, err)
+		lease.EndAfter(admission.VerdictSuccess, time.Millisecond)
+	}
+}
+
+func TestColdServerGetsOneAndThenMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := openPool("a")
+		first, err := pool.Acquire(t.Context(), within(time.Second))
+		require.NoError(t, err)
+		_, err = pool.Acquire(t.Context(), within(10*time.Millisecond))
+		require.Equal(t, admission.ReasonTimeout, reasonOf(t, err))
+		first.End(admission.VerdictSuccess)
+		warm(t, pool, "a")
+		for range 4 {
+			_, err := pool.Acquire(t.Context(), within(time.Second))
+			require.NoError(t, err)
+		}
+		_, err = pool.Acquire(t.Context(), within(time.Microsecond))
+		require.Error(t, err, "four slots")
+	})
+}
+
+func TestNewBootAndShedStartTheRampAnew(t *testing.T) {
+	for name, chill := range map[string]func(*admission.Pool, *admission.Lease){
+		"boot": func(p *admission.Pool, l *admission.Lease) {
+			l.End(admission.VerdictSuccess)
+			p.Observe("a", admission.Observation{Boot: "b2", Open: true})
+		},
+		"shed": func(_ *admission.Pool, l *admission.Lease) { l.End(admission.VerdictShed) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := openPool("a")
+			warm(t, pool, "a")
+			lease, err := pool.Acquire(t.Context(), within(time.Second))
+			require.NoError(t, err)
+			chill(pool, lease)
+			require.InDelta(t, 1, pool.Limits()[0].Limit, 0.001)
+		})
+	}
+}
+
+func TestHopelessRequestIsRefusedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := openPool("a")
+		lease, err := pool.Acquire(t.Context(), within(time.Second))
+		require.NoError(t, err)
+		lease.EndAfter(admission.VerdictFailed, 500*time.Millisecond)
+		_, err = pool.Acquire(t.Context(), within(time.Minute))
+		require.NoError(t, err)
+		began := time.Now()
+		_, err = pool.Acquire(t.Context(), within(100*time.Millisecond))
+		require.Equal(t, admission.ReasonDeadline, reasonOf(t, err))
+		require.Zero(t, time.Since(began))
+	})
+}
+
+func TestForegroundGoesFirstAndBackgroundLeavesASlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := openPool("a")
+		warm(t, pool, "a")
+		background := within(time.Hour)
+		background.Background = true
+		leases := []*admission.Lease{}
+		for range 3 {
+			lease, err := pool.Acquire(t.Context(), background)
+			require.NoError(t, err)
+			leases = append(leases, lease)
+		}
+		order := make(chan string, 2)
+		go func() {
+			_, err := pool.Acquire(t.Context(), background)
+			require.NoError(t, err)
+			order <- "background"
+		}()
+		synctest.Wait()
+		foreground, err := pool.Acquire(t.Context(), within(time.Hour))
+		require.NoError(t, err, "one slot is left for the foreground")
+		go func() {
+			_, err := pool.Acquire(t.Context(), within(time.Hour))
+			require.NoError(t, err)
+			order <- "foreground"
+		}()
+		synctest.Wait()
+		foreground.End(admission.VerdictSuccess)
+		require.Equal(t, "foreground", <-order)
+		leases[0].End(admission.VerdictSuccess)
+		require.Equal(t, "background", <-order)
+	})
+}
+
+func TestClosedPoolAndClosedServerRefuseWhoWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := openPool("a")
+		_, err := pool.Acquire(t.Context(), within(time.Hour))
+		require.NoError(t, err)
+		refusals := make(chan error, 1)
+		keyed := within(time.Hour)
+		keyed.Server = "a"
+		wait := func(request admission.Request) {
+			go func() {
+				_, err := pool.Acquire(t.Context(), request)
+				refusals <- err
+			}()
+			synctest.Wait()
+		}
+		wait(keyed)
+		pool.Observe("a", admission.Observation{})
+		require.Equal(t, admission.ReasonServerOut, reasonOf(t, <-refusals))
+		pool.Observe("a", admission.Observation{Boot: "b1", Open: true})
+		wait(within(time.Hour))
+		pool.Close(true)
+		require.Equal(t, admission.ReasonClosed, reasonOf(t, <-refusals))
+	})
+}
+
+func TestForeignRequestsTakeSlots(t *testing.T) {
+	pool := openPool("a")
+	warm(t, pool, "a")
+	pool.Observe("a", admission.Observation{Boot: "b1", Foreign: 4, Open: true})
+	_, err := pool.Acquire(t.Context(), within(time.Microsecond))
+	require.Error(t, err)
+}
+
+// TestNeverAboveTheLimit runs callers that come, give up, are shed and see the
+// server fall cold, and counts what the servers get.
+func TestNeverAboveTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := openPool("a", "b")
+		mu := sync.Mutex{}
+		inFlight := map[string]int{}
+		served := 0
+		running := sync.WaitGroup{}
+		for caller := range 50 {
+			running.Go(func() {
+				random := rand.New(rand.NewPCG(uint64(caller), 1))
+				for range 100 {
+					time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+					ctx, cancel := context.WithTimeout(t.Context(), time.Duration(random.IntN(200))*time.Millisecond)
+					lease, err := pool.Acquire(ctx, within(time.Second))
+					cancel()
+					if err != nil {
+						continue
+					}
+					mu.Lock()
+					inFlight[lease.Server()]++
+					served++
+					require.LessOrEqual(t, inFlight[lease.Server()], 4)
+					mu.Unlock()
+					time.Sleep(time.Duration(random.IntN(10)) * time.Millisecond)
+					mu.Lock()
+					inFlight[lease.Server()]--
+					mu.Unlock()
+					lease.End(admission.Verdict(random.IntN(20) / 15))
+				}
+			})
+		}
+		running.Wait()
+		require.Greater(t, served, 1000)
+		rows, queued := pool.Status()
+		require.Zero(t, queued)
+		for _, row := range rows {
+			require.Zero(t, row.InFlight, "every slot came back")
+		}
+	})
+}
--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -212,10 +212,17 @@
 
 // leave gives the pools up while the listeners still answer: requests of peers
 // that have not heard yet are refused as not run, and go to the next home.
+// Callers are served until the balancer has had time to see the health check.
 func (d *Daemon) leave(ctx context.Context) {
+	grace := time.NewTimer(d.common.Settings.Limits.LeaveGrace)
+	defer grace.Stop()
 	bounded, cancel := context.WithTimeout(ctx, leaveTimeout(d.common.Settings.Timing))
 	defer cancel()
 	d.control.Leave(bounded)
+	select {
+	case <-grace.C:
+	case <-ctx.Done():
+	}
 }
 
 // leaveTimeout is how long other members may take to settle former changes.
--- /dev/null
+++ b/pkg/backend/attempt_test.go
@@ -0,0 +1,193 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/backend"
+)
+
+// rawServer answers each connection's requests with a script, and logs what a
+// server that runs a request once it is whole would have run.
+type rawServer struct {
+	listener net.Listener
+
+	mu   sync.Mutex
+	runs int
+}
+
+func newRawServer(t *testing.T, script func(conn net.Conn, run func())) *rawServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &rawServer{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				script(conn, s.run)
+			}()
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) run() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs++
+}
+
+func (s *rawServer) ran() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs
+}
+
+// readRequest reads one whole request.
+func readRequest(conn net.Conn) {
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err == nil {
+		_, _ = io.Copy(io.Discard, request.Body)
+	}
+}
+
+func answer(id, rest string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nRequest-Id: %s\r\n%s", "200 OK", id, rest)
+}
+
+// Every way in which an attempt can end, against the server's own log. A claim
+// of "not run" about a request that ran is the one fault that must not be.
+func TestOutcomeOfEveryEnd(t *testing.T) {
+	refusal := func(reason string) string {
+		return "HTTP/1.1 503 Unavailable\r\nRequest-Id: r1\r\nRedwing-Refusal: " + reason + "\r\nContent-Length: 0\r\n\r\n"
+	}
+	for _, row := range []struct {
+		name    string
+		script  func(conn net.Conn, run func())
+		outcome redwingstall.Outcome
+		reason  string
+	}{
+		{"closed before reading", func(net.Conn, func()) {}, redwingstall.OutcomeUnknown, backend.ReasonNoAnswer},
+		{"closed after reading", func(c net.Conn, _ func()) { readRequest(c) }, redwingstall.OutcomeUnknown, backend.ReasonNoAnswer},
+		{"closed after running", func(c net.Conn, run func()) { readRequest(c); run() }, redwingstall.OutcomeUnknown, backend.ReasonNoAnswer},
+		{"answer cut in its header", func(c net.Conn, run func()) {
+			readRequest(c)
+			run()
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nReq")
+		}, redwingstall.OutcomeUnknown, backend.ReasonNoAnswer},
+		{"another request's answer", func(c net.Conn, run func()) {
+			readRequest(c)
+			run()
+			_, _ = io.WriteString(c, answer("r2", "Content-Length: 0\r\n\r\n"))
+		}, redwingstall.OutcomeUnknown, backend.ReasonWrongAnswer},
+		{"answer whose end cannot be told", func(c net.Conn, run func()) {
+			readRequest(c)
+			run()
+			_, _ = io.WriteString(c, answer("r1", "\r\nabc"))
+		}, redwingstall.OutcomeUnknown, backend.ReasonUnbounded},
+		{"no HTTP at all", func(c net.Conn, run func()) {
+			readRequest(c)
+			run()
+			_, _ = io.WriteString(c, "garbage\r\n\r\n")
+		}, redwingstall.OutcomeUnknown, backend.ReasonNoAnswer},
+		{"shed", func(c net.Conn, _ func()) { readRequest(c); _, _ = io.WriteString(c, refusal("shed")) }, redwingstall.OutcomeNotRun, "shed"},
+		{"draining", func(c net.Conn, _ func()) { readRequest(c); _, _ = io.WriteString(c, refusal("draining")) }, redwingstall.OutcomeNotRun, "draining"},
+		{"not owner", func(c net.Conn, _ func()) { readRequest(c); _, _ = io.WriteString(c, refusal("notOwner")) }, redwingstall.OutcomeNotRun, "notOwner"},
+		{"late", func(c net.Conn, _ func()) { readRequest(c); _, _ = io.WriteString(c, refusal("late")) }, redwingstall.OutcomeNotRun, "late"},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			server := newRawServer(t, row.script)
+			client := backend.NewClient(server.listener.Addr().String(), 10)
+			defer client.Close()
+			_, err := client.Do(t.Context(), charge("r1"))
+			attempt := &backend.AttemptError{}
+			require.True(t, errors.As(err, &attempt))
+			require.Equal(t, row.outcome, attempt.Outcome)
+			require.Equal(t, row.reason, attempt.Reason)
+			require.LessOrEqual(t, server.ran(), 1, "sent once")
+			require.False(t, attempt.Outcome == redwingstall.OutcomeNotRun && server.ran() > 0, "a false claim")
+		})
+	}
+}
+
+func charge(id string) backend.Request {
+	header := http.Header{redwingstall.HeaderIdempotencyKey: {"key"}}
+	return backend.Request{
+		Method: http.MethodPost, Path: "/charging/h", Header: header, Body: strings.NewReader("milk"),
+		Length: 4, ID: id, AtMostOnce: true,
+	}
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, err = backend.NewClient(address, 10).Do(t.Context(), charge("r1"))
+	attempt := &backend.AttemptError{}
+	require.True(t, errors.As(err, &attempt))
+	require.Equal(t, redwingstall.OutcomeNotRun, attempt.Outcome)
+	require.Equal(t, backend.ReasonConnect, attempt.Reason)
+}
+
+func TestCanceledAfterWritingIsUnknown(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	server := newRawServer(t, func(c net.Conn, run func()) {
+		readRequest(c)
+		run()
+		cancel()
+		_, _ = io.Copy(io.Discard, c)
+	})
+	_, err := backend.NewClient(server.listener.Addr().String(), 10).Do(ctx, charge("r1"))
+	attempt := &backend.AttemptError{}
+	require.True(t, errors.As(err, &attempt))
+	require.Equal(t, redwingstall.OutcomeUnknown, attempt.Outcome)
+}
+
+// net/http sends a request with an Idempotency-Key again by itself when a kept
+// connection fails; a charge without a body must not be.
+func TestLibraryDoesNotSendAChargeTwice(t *testing.T) {
+	requests := make(chan string, 10)
+	server := newRawServer(t, func(c net.Conn, _ func()) {
+		reader := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			requests <- request.Header.Get(redwingstall.HeaderIdempotencyKey)
+			if n > 0 {
+				return // the second request on a connection is read, and cut
+			}
+			_, _ = io.WriteString(c, answer("r1", "Content-Length: 0\r\n\r\n"))
+		}
+	})
+	client := backend.NewClient(server.listener.Addr().String(), 10)
+	request := charge("r1")
+	request.AtMostOnce = false
+	request.Body, request.Length = nil, 0
+	first, err := client.Do(t.Context(), request)
+	require.NoError(t, err)
+	_, _ = io.Copy(io.Discard, first.Body)
+	require.NoError(t, first.Body.Close())
+	_, err = client.Do(t.Context(), request)
+	require.Error(t, err)
+	require.Len(t, requests, 2, "two were asked for, two were sent")
+	require.Equal(t, "key", <-requests, "the key goes along")
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -61,7 +61,11 @@
 	MaxConnections    int           `toml:"maxConnections"`
 	HeaderReadTimeout time.Duration `toml:"headerReadTimeout"`
 	IdleTimeout       time.Duration `toml:"idleTimeout"`
-	ShutdownTimeout   time.Duration `toml:"shutdownTimeout"`
+	// LeaveGrace is how long a leaving instance still takes requests, while the
+	// balancer sees its health check fail.
+	LeaveGrace time.Duration `toml:"leaveGrace"`
+	// ShutdownTimeout bounds what is under way when an instance leaves.
+	ShutdownTimeout time.Duration `toml:"shutdownTimeout"`
 }
 
 // Timing has the periods of leases, votes and moves.
@@ -145,6 +149,7 @@
 			MaxConnections:    4096,
 			HeaderReadTimeout: 5 * time.Second,
 			IdleTimeout:       time.Minute,
+			LeaveGrace:        3 * time.Second,
 			ShutdownTimeout:   5 * time.Minute,
 		},
 		Timing: Timing{
@@ -251,6 +256,7 @@
 		{"platform.storeTimeout", s.Platform.StoreTimeout},
 		{"limits.headerReadTimeout", s.Limits.HeaderReadTimeout},
 		{"limits.idleTimeout", s.Limits.IdleTimeout},
+		{"limits.leaveGrace", s.Limits.LeaveGrace},
 		{"limits.shutdownTimeout", s.Limits.ShutdownTimeout},
 		{"timing.grantLifetime", s.Timing.GrantLifetime},
 		{"timing.confirmEvery", s.Timing.ConfirmEvery},
--- /dev/null
+++ b/pkg/standin/command/command.go
@@ -0,0 +1,194 @@
+// Package command is the stand-ins' command line: the platform, backend servers
+// and a bounded load on loopback addresses. It is no part of the product.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"github.com/redwingstall/redwingstall/pkg/standin"
+	"github.com/redwingstall/redwingstall/pkg/templates"
+)
+
+type arguments struct {
+	Platform *platformCommand `arg:"subcommand:platform" help:"run the store and the live list"`
+	Backends *backendsCommand `arg:"subcommand:backends" help:"run the backend servers of an account"`
+	Load     *loadCommand     `arg:"subcommand:load" help:"send a load and print what came of it"`
+}
+
+type platformCommand struct {
+	Store    string        `arg:"--store,required" help:"address of the store"`
+	LiveList string        `arg:"--live-list,required" help:"address of the live list"`
+	Lag      time.Duration `arg:"--lag" default:"2s"`
+}
+
+type backendsCommand struct {
+	Template  string        `arg:"--template,required"`
+	Account   string        `arg:"--account"`
+	Service   string        `arg:"--service" help:"only this service"`
+	Server    string        `arg:"--server" help:"only this server"`
+	Work      time.Duration `arg:"--work" default:"2ms"`
+	WarmAfter int           `arg:"--warm-after" default:"20"`
+}
+
+type loadCommand struct {
+	Targets  string        `arg:"--targets,required" help:"addresses with commas between"`
+	Path     string        `arg:"--path,required"`
+	Keys     int           `arg:"--keys" default:"1000"`
+	Method   string        `arg:"--method" default:"GET"`
+	Rate     float64       `arg:"--rate"`
+	InFlight int           `arg:"--in-flight" default:"1"`
+	Duration time.Duration `arg:"--duration" default:"5s"`
+	Timeout  time.Duration `arg:"--timeout" default:"5s"`
+	Zipf     float64       `arg:"--zipf"`
+	Seed     uint64        `arg:"--seed" default:"1"`
+	Key      bool          `arg:"--idempotency-key"`
+	Header   []string      `arg:"--header,separate" help:"Name=value"`
+}
+
+// Main runs the command line and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	a := arguments{}
+	parser, err := arg.NewParser(arg.Config{Program: "standin"}, &a)
+	if err == nil {
+		err = parser.Parse(args)
+	}
+	if err == nil {
+		err = run(a, stdout)
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "standin:", err)
+		return 1
+	}
+	return 0
+}
+
+func run(a arguments, stdout io.Writer) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	switch {
+	case a.Platform != nil:
+		return runPlatform(ctx, *a.Platform)
+	case a.Backends != nil:
+		return runBackends(ctx, *a.Backends)
+	case a.Load != nil:
+		return runLoad(ctx, *a.Load, stdout)
+	}
+	return errors.New("no command given; see --help")
+}
+
+func runPlatform(ctx context.Context, c platformCommand) error {
+	if err := serve(c.Store, standin.NewStore().Handler(), nil); err != nil {
+		return err
+	}
+	if err := serve(c.LiveList, standin.NewLiveList(c.Lag).Handler(), nil); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func serve(address string, handler http.Handler, hook func(net.Conn, http.ConnState)) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ConnState: hook, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }() // ends with the process
+	return nil
+}
+
+func runBackends(ctx context.Context, c backendsCommand) error {
+	deployment, err := load(c)
+	if err != nil {
+		return err
+	}
+	for _, service := range deployment.Services {
+		for _, server := range service.Servers {
+			if c.Service != "" && c.Service != service.Name || c.Server != "" && c.Server != server.Name {
+				continue
+			}
+			backend := standin.NewBackend(standin.BackendConfig{
+				Name:         server.Name,
+				Slots:        server.Slots,
+				ColdLimit:    server.ColdLimit,
+				ChecksFences: server.ChecksFences,
+				Keyed:        service.Kind == templates.KindKeyed,
+				WarmAfter:    c.WarmAfter,
+				Work:         c.Work,
+			})
+			if err := serve(server.Address, backend.Handler(), backend.CountConnections); err != nil {
+				return err
+			}
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func load(c backendsCommand) (templates.Deployment, error) {
+	text, err := os.ReadFile(c.Template)
+	if err != nil {
+		return templates.Deployment{}, err
+	}
+	template, err := templates.ParseTemplate(c.Template, text)
+	if err != nil {
+		return templates.Deployment{}, err
+	}
+	account := templates.Account{Name: template.Name, Template: template.Name}
+	if c.Account == "" {
+		return template.Render(account)
+	}
+	text, err = os.ReadFile(c.Account)
+	if err != nil {
+		return templates.Deployment{}, err
+	}
+	account, err = templates.ParseAccount(c.Account, text)
+	if err != nil {
+		return templates.Deployment{}, err
+	}
+	return template.Render(account)
+}
+
+func runLoad(ctx context.Context, c loadCommand, stdout io.Writer) error {
+	header := http.Header{}
+	for _, text := range c.Header {
+		name, value, _ := strings.Cut(text, "=")
+		header.Add(name, value)
+	}
+	report, err := standin.RunLoad(ctx, standin.LoadConfig{
+		Targets:  strings.Split(c.Targets, ","),
+		Path:     c.Path,
+		Keys:     c.Keys,
+		Method:   c.Method,
+		Rate:     c.Rate,
+		InFlight: c.InFlight,
+		Duration: c.Duration,
+		Timeout:  c.Timeout,
+		Zipf:     c.Zipf,
+		Seed:     c.Seed,
+		Key:      c.Key,
+		Header:   header,
+	})
+	if err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(stdout, string(text))
+	return nil
+}
--- a/pkg/templates/quiethours.go
+++ b/pkg/templates/quiethours.go
@@ -11,8 +11,9 @@
 )
 
 // QuietHours is a window in which a failure domain must be silent. A window
-// whose end is not after its start ends on the next day. Where a change of
-// daylight-saving time skips or doubles an edge, the longer window holds.
+// whose end is not after its start ends on the next day. An edge that a change
+// of daylight-saving time skips is at the change; of one that it doubles, the
+// longer window holds.
 type QuietHours struct {
 	FailureDomain string `toml:"failureDomain" json:"failureDomain"`
 	// Days on which the window starts, mon to sun; none means every day.
@@ -106,22 +107,22 @@
 }
 
 // wallTime returns the earliest and the latest instant that a wall time of the
-// day may mean: two where the clocks are set back over it, or where they are
-// set forward over it, and else one.
+// day may mean: two where the clocks are set back over it, the instant of the
+// change where they are set forward over it, and else one.
 func wallTime(day, clock time.Time, zone *time.Location) (earliest, latest time.Time) {
 	midnight := time.Date(day.Year(), day.Month(), day.Day(), 0, 0, 0, 0, zone)
 	_, before := midnight.Add(-hoursOfDay * time.Hour).Zone()
 	_, after := midnight.Add(2 * hoursOfDay * time.Hour).Zone()
-	earliest = withOffset(day, clock, before)
-	latest = withOffset(day, clock, after)
-	if latest.Before(earliest) {
-		earliest, latest = latest, earliest
-	}
 	exact := time.Date(day.Year(), day.Month(), day.Day(), clock.Hour(), clock.Minute(), 0, 0, zone)
-	if isUnique(exact, clock, zone) {
+	isSkipped := exact.Hour() != clock.Hour() || exact.Minute() != clock.Minute()
+	switch {
+	case isSkipped:
+		change, _ := withOffset(day, clock, before).In(zone).ZoneBounds()
+		return change, change
+	case isUnique(exact, zone):
 		return exact, exact
 	}
-	return earliest, latest
+	return withOffset(day, clock, before), withOffset(day, clock, after)
 }
 
 func withOffset(day, clock time.Time, offsetSeconds int) time.Time {
@@ -129,11 +130,8 @@
 	return time.Date(day.Year(), day.Month(), day.Day(), clock.Hour(), clock.Minute(), 0, 0, fixed)
 }
 
-// isUnique reports whether the wall time exists once around the instant.
-func isUnique(instant, clock time.Time, zone *time.Location) bool {
-	if instant.Hour() != clock.Hour() || instant.Minute() != clock.Minute() {
-		return false
-	}
+// isUnique reports whether the wall time of an instant comes once around it.
+func isUnique(instant time.Time, zone *time.Location) bool {
 	const widestChange = 2 * time.Hour
 	for shift := -widestChange; shift <= widestChange; shift += 30 * time.Minute {
 		other := instant.Add(shift).In(zone)
@@ -160,7 +158,7 @@
 // CheckSilence refuses quiet hours that silence every domain of a service at
 // one time within the next 400 days. The lead is the time work needs to leave.
 func (d *Deployment) CheckSilence(from time.Time, lead, skew time.Duration) error {
-	for _, instant := range d.starts(from) {
+	for _, instant := range d.starts(from, lead+skew) {
 		silent := d.SilentDomains(instant, lead, skew)
 		for _, service := range d.Services {
 			if service.allSilent(silent) {
@@ -171,8 +169,9 @@
 	return nil
 }
 
-// starts returns the instants at which a window begins within the lookout.
-func (d *Deployment) starts(from time.Time) []time.Time {
+// starts returns the instants, ahead of the windows' own by the time given, at
+// which a window begins within the lookout.
+func (d *Deployment) starts(from time.Time, ahead time.Duration) []time.Time {
 	instants := []time.Time{from}
 	for i := range d.QuietHours {
 		zone, err := time.LoadLocation(d.QuietHours[i].Zone)
@@ -182,7 +181,7 @@
 		for day := range daysOfLookout {
 			start, _, found := d.QuietHours[i].window(from.In(zone).AddDate(0, 0, day), zone)
 			if found {
-				instants = append(instants, start)
+				instants = append(instants, start.Add(-ahead))
 			}
 		}
 	}
--- /dev/null
+++ b/test/scenarios/scenarios_test.go
@@ -0,0 +1,130 @@
+// Package scenarios_test runs scripted scenarios: the daemon, the stand-ins and
+// the operators' tool as separate processes on loopback.
+package scenarios_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/redwingstall/redwingstall/pkg/app"
+	"github.com/redwingstall/redwingstall/pkg/standin/command"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"redwingstall": func() { os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"standin":      func() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		Setup:               setUp,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ask":    ask,
+			"await":  await,
+			"expand": expand,
+		},
+	})
+}
+
+const (
+	firstPort     = 23_000
+	portsAScript  = 100
+	ephemeralPort = 32_768
+)
+
+var scripts atomic.Int64
+
+// setUp gives a script ports of its own as $PORT1 to $PORT30, below those that
+// the system gives to outgoing connections.
+func setUp(env *testscript.Env) error {
+	first := firstPort + portsAScript*int(scripts.Add(1))
+	if first+portsAScript > ephemeralPort {
+		return fmt.Errorf("no ports left for %d scripts", scripts.Load())
+	}
+	for n := 1; n <= 30; n++ {
+		env.Setenv(fmt.Sprintf("PORT%d", n), strconv.Itoa(first+n))
+	}
+	return nil
+}
+
+// expand replaces $NAME in files by the script's environment:
+//
+//	expand FILE...
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o644))
+	}
+}
+
+// ask sends a request and keeps the answer as standard output:
+//
+//	ask STATUS METHOD URL [Header=value ...] [body=TEXT]
+func ask(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 3 {
+		ts.Fatalf("usage: ask STATUS METHOD URL [Header=value ...]")
+	}
+	status, answer, err := send(args[1], args[2], args[3:])
+	ts.Check(err)
+	_, _ = io.WriteString(ts.Stdout(), answer)
+	if (fmt.Sprint(status) == args[0]) == neg {
+		ts.Fatalf("status %d\n%s", status, answer)
+	}
+}
+
+func send(method, url string, options []string) (int, string, error) {
+	body := ""
+	header := http.Header{"Redwing-Timeout": {"10s"}}
+	for _, option := range options {
+		name, value, _ := strings.Cut(option, "=")
+		if name == "body" {
+			body = value
+			continue
+		}
+		header.Set(name, value)
+	}
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	request.Header = header
+	answer, err := (&http.Client{Timeout: 30 * time.Second}).Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer answer.Body.Close()
+	text := &strings.Builder{}
+	_ = answer.Header.Write(text)
+	got, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, text.String() + "\n" + string(got), err
+}
+
+const awaitTimeout = 60 * time.Second
+
+// await asks again until the answer has the status:
+//
+//	await STATUS URL [Header=value ...]
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	deadline := time.Now().Add(awaitTimeout)
+	for time.Now().Before(deadline) {
+		status, _, err := send(http.MethodGet, args[1], args[2:])
+		if err == nil && fmt.Sprint(status) == args[0] {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	ts.Fatalf("no status %s at %s within %v", args[0], args[1], awaitTimeout)
+}
