All instances may start anew at once

Cause: the first process to come back replaced its predecessor, and settling that change then waited for acknowledgements of members whose processes had all ended; found by the stragglers' measurement, which restarts four instances: none was ready within 20 s. Ruled out: the store (its revisions went on) and the votes (nobody was a member yet). Change: a process that finds its predecessor in an unsettled record marks it as ended; a settled record keeps such marks for those still in it.

--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -59,7 +59,14 @@
 	if members.Has(c.common.Self.ID) {
 		return
 	}
-	if !members.Settled() {
+	ended := members.Predecessors(c.common.Self)
+	switch {
+	case !members.Settled() && len(ended) > 0:
+		// Where many start anew at once, the change waits for processes that have
+		// ended; each one tells of its predecessor.
+		c.publishMembers(ctx, members.WithGone(revision, ended...), revision, "gone")
+		return
+	case !members.Settled():
 		// Its tender may have ended; a settled record is written by whoever can.
 		c.settle(ctx, members, revision)
 		return
--- /dev/null
+++ b/pkg/journal/main_test.go
@@ -0,0 +1,19 @@
+package journal_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed, so that every run gives the same verdict; a search
+// with other seeds sets EXPLORE.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("EXPLORE") == "" {
+		if err := flag.Set("rapid.seed", "20261204"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -216,3 +216,28 @@
 		require.True(t, before.ID == member(3).ID || before.ID == after.ID)
 	}
 }
+
+// Every instance starts anew at one time: no old member is left to acknowledge
+// anything, and yet the new ones must get by without an operator.
+func TestAllStartAnewAtOnce(t *testing.T) {
+	record := membersOf(1, 2, 3, 4)
+	anew := func(n int) membership.Member {
+		next := member(n)
+		next.ID = fmt.Sprintf("e%d@2", n)
+		return next
+	}
+	record = record.With(anew(1), 1)
+	nobody := map[string]bool{}
+	require.False(t, record.IsBlocked(nobody))
+	for n := 2; n <= 4; n++ {
+		record = record.WithGone(2, record.Predecessors(anew(n))...)
+	}
+	require.True(t, record.IsBlocked(nobody), "all old processes have ended")
+	alive := map[string]bool{anew(1).ID: true}
+	for n := 2; n <= 4; n++ {
+		record = record.Settle(3).With(anew(n), 3)
+		alive[anew(n).ID] = true
+		require.True(t, record.IsBlocked(alive), "step %d", n)
+	}
+	require.True(t, record.Settle(4).IsConfirmed(alive))
+}
--- a/pkg/membership/record.go
+++ b/pkg/membership/record.go
@@ -134,7 +134,27 @@
 
 // Settle returns the record once a blocking set knows it.
 func (r MemberRecord) Settle(base redwingstall.Revision) MemberRecord {
-	return MemberRecord{Current: slices.Clone(r.Current), Base: base}
+	next := MemberRecord{Current: slices.Clone(r.Current), Base: base}
+	for _, id := range r.Gone {
+		if next.Has(id) {
+			next.Gone = append(next.Gone, id)
+		}
+	}
+	return next
+}
+
+// Predecessors returns the members, present and previous, whose processes must
+// have ended for the given one to have their name and address, and which are
+// not marked so yet.
+func (r MemberRecord) Predecessors(member Member) []string {
+	ids := []string{}
+	for _, other := range slices.Concat(r.Current, r.Previous) {
+		isBefore := other.Name == member.Name && other.Peer == member.Peer && other.ID != member.ID
+		if isBefore && !slices.Contains(r.Gone, other.ID) {
+			ids = appendOnce(ids, other.ID)
+		}
+	}
+	return ids
 }
 
 func (r MemberRecord) successor(base redwingstall.Revision) MemberRecord {
--- /dev/null
+++ b/scripts/measure/lib.sh
@@ -0,0 +1,57 @@
+# Shared by the measurements: starts processes on loopback and ends just these.
+work=$(mktemp -d)
+pids=()
+cleanup() {
+  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null; done
+  wait 2>/dev/null
+  rm -rf "$work"
+}
+trap cleanup EXIT
+start() { # start LOG COMMAND...: runs it and sets $last to its process id
+  local log=$1
+  shift
+  "$@" >"$work/$log" 2>&1 &
+  last=$!
+  pids+=("$last")
+}
+await() { # await SECONDS COMMAND...
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ $SECONDS -lt $end ] || { echo "timeout: $*" >&2; tail -n 5 "$work"/*.log >&2; exit 1; }
+    sleep 0.1
+  done
+}
+domains='["a", "b", "c", "d"]'
+entry() { # entry NUMBER DOMAIN [EXTRA-SETTINGS]: starts entry instance NUMBER
+  cat >"$work/entry$1.toml" <<END
+name = "entry$1"
+failureDomain = "$2"
+failureDomains = $domains
+[listen]
+callers = "127.0.0.1:$((24100 + $1))"
+operators = "127.0.0.1:$((24300 + $1))"
+peers = "127.0.0.1:$((24500 + $1))"
+[platform]
+store = "127.0.0.1:24001"
+liveList = "127.0.0.1:24002"
+[operator]
+tokenFile = "$work/token"
+${3:-}
+END
+  start "entry$1.log" ./bin/redwingstall serve --config "$work/entry$1.toml"
+}
+ready() { curl -sf -m 2 "http://127.0.0.1:$((24100 + $1))/healthz"; }
+ctl() { ./bin/redwingstall --instance 127.0.0.1:24301 --token-file "$work/token" "$@"; }
+platform() {
+  echo token >"$work/token"
+  start platform.log ./bin/standin platform --store 127.0.0.1:24001 --live-list 127.0.0.1:24002
+}
+deploy() { # deploy NAME: publishes $work/NAME.toml as template and account NAME
+  printf 'name = "%s"\ntemplate = "%s"\n' "$1" "$1" >"$work/$1-account.toml"
+  await 20 ctl template publish "$work/$1.toml"
+  await 20 ctl account set "$work/$1-account.toml"
+}
+ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; } # hundredths of a second of processor time
+resident() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; } # KiB
+field() { sed -n "s/^  \"$1\": \([0-9.]*\),*$/\1/p"; }
