--- a/pkg/admission/pool_test.go
+++ b/pkg/admission/pool_test.go
@@ -211,3 +211,29 @@
 		}
 	})
 }
+
+// A straggler whose requests are all canceled because hedges win elsewhere must
+// lose its place all the same.
+func TestCanceledAttemptsShowAStraggler(t *testing.T) {
+	pool := openPool("fast", "slow")
+	for range 8 {
+		for _, name := range []string{"fast", "slow"} {
+			request := within(time.Minute)
+			request.Server = name
+			lease, err := pool.Acquire(t.Context(), request)
+			require.NoError(t, err)
+			lease.EndAfter(admission.VerdictSuccess, 5*time.Millisecond)
+		}
+	}
+	request := within(time.Minute)
+	request.Server = "slow"
+	lease, err := pool.Acquire(t.Context(), request)
+	require.NoError(t, err)
+	lease.EndAfter(admission.VerdictCanceled, 50*time.Millisecond)
+	for range 20 {
+		lease, err := pool.Acquire(t.Context(), within(time.Minute))
+		require.NoError(t, err)
+		require.Equal(t, "fast", lease.Server())
+		lease.EndAfter(admission.VerdictSuccess, 5*time.Millisecond)
+	}
+}
--- a/pkg/admission/server.go
+++ b/pkg/admission/server.go
@@ -92,6 +92,12 @@
 	case VerdictFailed:
 		s.failures++
 		s.latency.add(took)
+	case VerdictCanceled:
+		// The answer would have taken longer yet: a hedge that won elsewhere
+		// must not hide how slow the server is.
+		if took.Seconds() > s.latency.seconds() {
+			s.latency.add(took)
+		}
 	}
 }
 
