--- a/pkg/caller/attempt.go
+++ b/pkg/caller/attempt.go
@@ -57,6 +57,7 @@
 		return nil, err
 	}
 	costs.learn(pool.Name, answer.Header.Get(redwingstall.HeaderCost), r.now())
+	answer.Header.Set(redwingstall.HeaderPool, pool.Name)
 	answer.Body = &closeHook{ReadCloser: answer.Body, hook: func() { costs.end(pool.Name) }}
 	return answer, nil
 }
--- a/pkg/caller/journaled.go
+++ b/pkg/caller/journaled.go
@@ -49,16 +49,14 @@
 }
 
 func (r *Router) refuseJournaled(w http.ResponseWriter, attempt *backend.AttemptError) {
-	status := http.StatusConflict
-	switch {
-	case attempt.Reason == reasonMismatch:
-		status = http.StatusUnprocessableEntity
-	case attempt.Outcome == redwingstall.OutcomeNotRun:
-		status = http.StatusServiceUnavailable
-	case attempt.Reason == backend.ReasonTimeout || attempt.Reason == reasonPeerCut:
-		status = http.StatusGatewayTimeout
+	switch attempt.Reason {
+	case reasonMismatch:
+		r.refuse(w, refused{attempt.Outcome, attempt.Reason, http.StatusUnprocessableEntity, ""})
+	case reasonInProgress, reasonUnknown, reasonNoReplay:
+		r.refuse(w, refused{attempt.Outcome, attempt.Reason, http.StatusConflict, ""})
+	default:
+		r.refuseAttempt(w, attempt)
 	}
-	r.refuse(w, refused{attempt.Outcome, attempt.Reason, status, ""})
 }
 
 // journalOnce asks the instance that keeps the bucket, or this one if that one
--- a/pkg/caller/pass.go
+++ b/pkg/caller/pass.go
@@ -63,10 +63,21 @@
 	start int64
 	next  int64
 	end   int64
+	// pool is where the present answer comes from.
+	pool    string
+	resumes int
 }
 
+// maxResumes bounds the servers that one download is continued from.
+const maxResumes = 4
+
 func newProgress(answer *http.Response) *progress {
-	p := &progress{tag: answer.Header.Get("ETag"), status: answer.StatusCode, end: answer.ContentLength}
+	p := &progress{
+		tag:    answer.Header.Get("ETag"),
+		status: answer.StatusCode,
+		end:    answer.ContentLength,
+		pool:   answer.Header.Get(redwingstall.HeaderPool),
+	}
 	if answer.StatusCode == http.StatusPartialContent {
 		start, end, _, err := parseContentRange(answer.Header.Get("Content-Range"))
 		if err != nil {
@@ -135,15 +146,18 @@
 	if errors.Is(cause, errWrite) || !p.isResumable(q) || p.next >= p.end {
 		return nil, cause
 	}
-	policy := r.policies.of(q.account, q.service.Name)
-	if !policy.retries.Spend() {
-		r.common.Count("resumes.refused.budget")
+	// A resume asks for the missing part only, so that it is no extra load and
+	// needs no budget; but it must not go on for ever.
+	p.resumes++
+	if p.resumes > maxResumes {
+		r.common.Count("resumes.refused.often")
 		return nil, cause
 	}
 	header := q.header.Clone()
 	header.Set("Range", fmt.Sprintf("bytes=%d-%d", p.next, p.end-1))
 	header.Set("If-Range", p.tag)
 	again := *q
+	again.avoid = p.pool
 	again.deadline = r.now().Add(r.common.Settings.Policy.DefaultTimeout)
 	answer, err := r.sendRest(ctx, &again, header)
 	if err != nil {
@@ -157,6 +171,7 @@
 		_ = answer.Body.Close()
 		return nil, errors.Newf("caller: the content has changed")
 	}
+	p.pool = answer.Header.Get(redwingstall.HeaderPool)
 	return answer, nil
 }
 
--- a/pkg/caller/request.go
+++ b/pkg/caller/request.go
@@ -46,6 +46,8 @@
 	idempotencyKey string
 	background     bool
 	deadline       time.Time
+	// avoid is a pool that is taken only if there is no other.
+	avoid string
 	// buffered has the body where it is small enough to send again; else
 	// stream has it.
 	buffered []byte
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -18,7 +18,7 @@
 	policy := r.policies.of(q.account, q.service.Name)
 	policy.retries.Earn()
 	policy.hedges.Earn()
-	tried := map[string]bool{}
+	tried := map[string]bool{q.avoid: true}
 	for n := 0; ; n++ {
 		answer, err := r.sendOnce(ctx, q, policy, header, tried)
 		if err == nil {
--- a/pkg/standin/command/command.go
+++ b/pkg/standin/command/command.go
@@ -26,6 +26,7 @@
 	Platform *platformCommand `arg:"subcommand:platform" help:"run the store and the live list"`
 	Backends *backendsCommand `arg:"subcommand:backends" help:"run the backend servers of an account"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"send a load and print what came of it"`
+	Capacity *struct{}        `arg:"subcommand:capacity" help:"measure real parts at several sizes"`
 }
 
 type platformCommand struct {
@@ -85,6 +86,9 @@
 		return runBackends(ctx, *a.Backends)
 	case a.Load != nil:
 		return runLoad(ctx, *a.Load, stdout)
+	case a.Capacity != nil:
+		standin.MeasureCapacity(stdout)
+		return nil
 	}
 	return errors.New("no command given; see --help")
 }
