--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -141,7 +141,7 @@
 			return id == c.Self.ID || members.Has(id)
 		},
 		Retention:      policy.JournalRetention,
-		Buckets:        policy.JournalBuckets,
+		Buckets:        journal.DefaultBuckets,
 		MaxAnswerBytes: policy.JournalMaxAnswerBytes,
 		SkewBound:      c.Settings.Timing.ClockSkewBound,
 	})
--- a/pkg/control/control.go
+++ b/pkg/control/control.go
@@ -67,8 +67,8 @@
 	running.Go(func() { every(ctx, c.common.Settings.Timing.ConfirmEvery, c.round) })
 	running.Go(func() { every(ctx, membersEvery, c.tendMembers) })
 	running.Go(func() { every(ctx, listEvery, c.readLiveList) })
-	running.Go(func() { every(ctx, reportEvery, c.movers.report) })
-	running.Go(func() { every(ctx, moveEvery, c.movers.step) })
+	running.Go(func() { everyOr(ctx, reportEvery, c.parts.Homes.Losses(), c.movers.report) })
+	running.Go(func() { everyOr(ctx, moveEvery, c.movers.losses, c.movers.step) })
 	running.Go(func() { every(ctx, refreshEvery, c.refresh) })
 	running.Go(func() { c.watch(ctx) })
 	running.Wait()
@@ -76,6 +76,11 @@
 
 // every calls a step at once and then once a period.
 func every(ctx context.Context, period time.Duration, step func(context.Context)) {
+	everyOr(ctx, period, nil, step)
+}
+
+// everyOr also calls the step when the signal says so.
+func everyOr(ctx context.Context, period time.Duration, signal <-chan struct{}, step func(context.Context)) {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
@@ -84,6 +89,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-signal:
 		}
 	}
 }
--- a/pkg/control/movers.go
+++ b/pkg/control/movers.go
@@ -17,6 +17,7 @@
 // for. The store's compare-and-swap decides should two do so at once.
 type movers struct {
 	control *Control
+	losses  chan struct{}
 
 	mu       sync.Mutex
 	reports  map[string]reported
@@ -60,6 +61,7 @@
 func newMovers(control *Control) *movers {
 	return &movers{
 		control:  control,
+		losses:   make(chan struct{}, 1),
 		reports:  map[string]reported{},
 		services: map[string]*serviceMover{},
 	}
@@ -72,7 +74,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, server := range servers {
+		wasLost := m.reports[server.Server].report.Lost
 		m.reports[server.Server] = reported{server, m.control.now()}
+		if server.Lost && !wasLost {
+			m.signalLoss()
+		}
+	}
+}
+
+func (m *movers) signalLoss() {
+	select {
+	case m.losses <- struct{}{}:
+	default:
 	}
 }
 
@@ -140,13 +153,8 @@
 	name := assignment.RecordName(account, service.Name)
 	s := m.service(name)
 	record, revision := c.parts.View.Assignment(account, service.Name)
-	if revision != 0 && s.spread != revision {
-		if !c.Spread(ctx, name, revision) {
-			c.common.Count("moves.notSpread")
-			return
-		}
-		s.spread = revision
-		s.mover.Acknowledge(c.now(), record)
+	if !m.acknowledge(ctx, s, name, record, revision) {
+		return
 	}
 	m.release(ctx, s, account, service, record)
 	plan := assignment.MakePlan(record, m.view(s, account, service, record, revision))
@@ -155,6 +163,23 @@
 		return
 	}
 	m.publish(ctx, name, revision, plan)
+	// What was published is spread at once: the waits count from then.
+	record, revision = c.parts.View.Assignment(account, service.Name)
+	m.acknowledge(ctx, s, name, record, revision)
+}
+
+// acknowledge makes a record known to a blocking set and reports whether it is.
+func (m *movers) acknowledge(ctx context.Context, s *serviceMover, name string, record assignment.Record, revision redwingstall.Revision) bool {
+	if revision == 0 || s.spread == revision {
+		return true
+	}
+	if !m.control.Spread(ctx, name, revision) {
+		m.control.common.Count("moves.notSpread")
+		return false
+	}
+	s.spread = revision
+	s.mover.Acknowledge(m.control.now(), record)
+	return true
 }
 
 func (m *movers) publish(ctx context.Context, name string, old redwingstall.Revision, plan assignment.Plan) {
--- a/pkg/home/call.go
+++ b/pkg/home/call.go
@@ -105,16 +105,18 @@
 	if owner.shard != "" {
 		s.loads.add(owner.shard, call.Key)
 	}
-	started := now
+	ctx, release := s.bind(ctx)
 	answer, err := s.client.Do(ctx, p.request(call, owner, s, now))
-	took := p.homes.common.Clock.Now().Sub(started)
+	took := p.homes.common.Clock.Now().Sub(now)
 	if err != nil {
 		p.failed(ctx, s, lease, err, took)
+		release()
 		return nil, err
 	}
 	answer.Header.Set(redwingstall.HeaderServer, s.config.Name)
 	answer.Body = &leasedBody{ReadCloser: answer.Body, end: func(verdict admission.Verdict) {
 		lease.EndAfter(verdict, took)
+		release()
 	}}
 	return answer, nil
 }
--- a/pkg/home/homes.go
+++ b/pkg/home/homes.go
@@ -23,6 +23,7 @@
 	candidate *membership.Candidate
 	view      *view.View
 	done      chan struct{}
+	losses    chan struct{}
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -35,6 +36,7 @@
 		candidate: candidate,
 		view:      v,
 		done:      make(chan struct{}),
+		losses:    make(chan struct{}, 1),
 		pools:     map[string]*pool{},
 	}
 }
@@ -42,6 +44,17 @@
 // Done is closed when Run has ended.
 func (h *Homes) Done() <-chan struct{} { return h.done }
 
+// Losses signals that a backend server was found lost, so that its shards need
+// not wait for the next report.
+func (h *Homes) Losses() <-chan struct{} { return h.losses }
+
+func (h *Homes) signalLoss() {
+	select {
+	case h.losses <- struct{}{}:
+	default:
+	}
+}
+
 const actEvery = 50 * time.Millisecond
 
 // Run follows the configuration and the rights until the context ends.
--- a/pkg/home/server.go
+++ b/pkg/home/server.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/pkg/admission"
 	"github.com/redwingstall/redwingstall/pkg/backend"
@@ -24,10 +26,13 @@
 	lastAnswer time.Time
 	lost       bool
 	draining   bool
+	// alive ends when the server is found lost.
+	alive context.Context
+	lose  context.CancelFunc
 }
 
 func newServer(config templates.Server, lifetime time.Duration, now time.Time) *server {
-	return &server{
+	s := &server{
 		config:     config,
 		client:     backend.NewClient(config.Address, config.Connections),
 		loads:      newLoads(now),
@@ -35,6 +40,25 @@
 		issuer:     grant.NewIssuer(lifetime),
 		lastAnswer: now,
 	}
+	s.alive, s.lose = context.WithCancel(context.Background())
+	return s
+}
+
+// errServerLost ends the attempts at a server that answers no orders any more.
+var errServerLost = errors.New("home: the backend server is lost")
+
+// bind returns a context that also ends when the server is found lost: an
+// attempt that is stuck there can then be made elsewhere, where that is safe.
+func (s *server) bind(ctx context.Context) (context.Context, context.CancelFunc) {
+	s.mu.Lock()
+	alive := s.alive
+	s.mu.Unlock()
+	bound, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(alive, func() { cancel(errServerLost) })
+	return bound, func() {
+		stop()
+		cancel(nil)
+	}
 }
 
 // wake asks for the next order at once.
@@ -45,27 +69,51 @@
 	}
 }
 
+const (
+	// ordersBeforeLoss is the number of orders that may go unanswered, one after
+	// the other, within the time after which a server is lost.
+	ordersBeforeLoss = 4
+	missedPause      = 50 * time.Millisecond
+)
+
+// pooledRounds is the number of voting rounds between two orders to a server
+// that needs no grants renewed.
+const pooledRounds = 3
+
 // loop sends orders until the context ends.
 func (p *pool) loop(ctx context.Context, s *server) {
-	period := p.homes.common.Settings.Timing.ConfirmEvery
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		p.exchange(ctx, s)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		case <-s.kick:
 		}
+		answered := p.exchange(ctx, s)
+		timer.Reset(p.nextOrder(s, answered))
+	}
+}
+
+// nextOrder returns the time until the next order. A server that missed one is
+// asked again soon, whatever its kind.
+func (p *pool) nextOrder(s *server, answered bool) time.Duration {
+	period := p.homes.common.Settings.Timing.ConfirmEvery
+	switch {
+	case !answered && !s.isLost():
+		return missedPause
+	case answered && p.info.Service.Kind != templates.KindKeyed:
+		return pooledRounds * period
 	}
+	return period
 }
 
-// exchange sends one order, a grant where one is justified, and learns from the
-// answer.
-func (p *pool) exchange(ctx context.Context, s *server) {
+// exchange sends one order, a grant where one is justified, learns from the
+// answer, and reports whether there was one.
+func (p *pool) exchange(ctx context.Context, s *server) bool {
 	timing := p.homes.common.Settings.Timing
-	bounded, cancel := context.WithTimeout(ctx, timing.ServerLostAfter/2)
+	bounded, cancel := context.WithTimeout(ctx, timing.ServerLostAfter/ordersBeforeLoss)
 	defer cancel()
 	order, justified := p.grantOrder(s)
 	var answer redwingstall.OrderAnswer
@@ -76,15 +124,16 @@
 		answer, err = s.client.Status(bounded)
 	}
 	if ctx.Err() != nil {
-		return
+		return false
 	}
 	now := p.homes.common.Clock.Now()
 	if err != nil {
 		p.missed(s, now)
-		return
+		return false
 	}
 	p.homes.common.Count("orders.answered")
 	p.learn(s, now, answer)
+	return true
 }
 
 func (p *pool) grantOrder(s *server) (redwingstall.GrantOrder, bool) {
@@ -107,11 +156,13 @@
 	wasLost := s.lost
 	if now.Sub(s.lastAnswer) >= p.homes.common.Settings.Timing.ServerLostAfter {
 		s.lost = true
+		s.lose()
 	}
 	isLost := s.lost
 	s.mu.Unlock()
 	if isLost && !wasLost {
 		p.homes.common.Count("servers.lost")
+		p.homes.signalLoss()
 		p.homes.common.Log.Warn("backend server is lost", "server", s.config.Name, "pool", p.info.Name)
 	}
 	if isLost {
@@ -124,6 +175,9 @@
 	wasLost := s.lost
 	isNew := s.issuer.Observe(now, answer)
 	s.lastAnswer = now
+	if s.lost {
+		s.alive, s.lose = context.WithCancel(context.Background())
+	}
 	s.lost = false
 	s.draining = answer.Draining
 	s.mu.Unlock()
@@ -161,7 +215,13 @@
 	s.draining = true
 }
 
-// boot returns the server's process as last seen.
+func (s *server) isLost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
+// bootID returns the server's process as last seen.
 func (s *server) bootID() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -103,8 +103,6 @@
 	MovesPerTick int `toml:"movesPerTick"`
 	// JournalRetention is how long an idempotency key is remembered.
 	JournalRetention time.Duration `toml:"journalRetention"`
-	// JournalBuckets divides the journal of an at-most-once service.
-	JournalBuckets int `toml:"journalBuckets"`
 	// JournalMaxAnswerBytes bounds the answer that is recorded for retries.
 	JournalMaxAnswerBytes int `toml:"journalMaxAnswerBytes"`
 }
@@ -170,7 +168,6 @@
 			StallTimeout:          5 * time.Second,
 			MovesPerTick:          32,
 			JournalRetention:      24 * time.Hour,
-			JournalBuckets:        16,
 			JournalMaxAnswerBytes: 2 * kibibyte,
 		},
 		Log: Log{Format: "text", Level: "info"},
@@ -294,7 +291,6 @@
 		{"limits.maxBodyBytes", s.Limits.MaxBodyBytes},
 		{"limits.maxConnections", int64(s.Limits.MaxConnections)},
 		{"policy.movesPerTick", int64(s.Policy.MovesPerTick)},
-		{"policy.journalBuckets", int64(s.Policy.JournalBuckets)},
 		{"policy.journalMaxAnswerBytes", int64(s.Policy.JournalMaxAnswerBytes)},
 	}
 	for _, row := range positive {
