A shedding server is left alone for a while, and costs of pools fade slowly

Change: a pool without a server that takes anything refuses at once and another is tried; refusals carry the pool's cost as answers do; a cost loses half of its weight a second instead of all of it at once. Ruled out: the retry budget (attempts for each request were 1.07). TestNeverAboveTheLimit shed a quarter of its requests, which now rests its two servers most of the time (571 served of the 1,000 asked for): it sheds one in 40 and keeps its bounds. Hour-long outage, time to be served again and rolling replacement are tests in fake time.

--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -18,6 +18,7 @@
 	ReasonQueueFull   = "queueFull"
 	ReasonTimeout     = "queueTimeout"
 	ReasonCallerGone  = "callerGone"
+	ReasonResting     = "resting"
 	ejectAfter        = 3
 	ejectFor          = time.Second
 	maxQueuePerServer = 1024
@@ -215,6 +216,9 @@
 		return
 	}
 	s.end(l.background, verdict, took)
+	if verdict == VerdictShed {
+		l.pool.restServer(s)
+	}
 	if s.failures >= ejectAfter && l.pool.mayEject() {
 		s.ejected = l.pool.now().Add(ejectFor)
 		s.failures = 0
@@ -222,6 +226,17 @@
 	l.pool.serve()
 }
 
+// restServer leaves a server alone for a while, and then serves who waits for it.
+func (p *Pool) restServer(s *server) {
+	rest := s.rest()
+	s.rested = p.now().Add(rest)
+	time.AfterFunc(rest, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.serve()
+	})
+}
+
 // mayEject keeps at least half of the servers in use.
 func (p *Pool) mayEject() bool {
 	out := 0
@@ -276,9 +291,13 @@
 			return p.start(w, s), nil
 		}
 	}
-	if !p.hasOpenServer() {
+	if !p.hasServer(func(s *server) bool { return s.open }) {
 		return nil, &RefusalError{ReasonNoServer}
 	}
+	now := p.now()
+	if w.server == "" && !p.hasServer(func(s *server) bool { return s.open && !now.Before(s.rested) }) {
+		return nil, &RefusalError{ReasonResting}
+	}
 	if q.len() >= maxQueuePerServer {
 		return nil, &RefusalError{ReasonQueueFull}
 	}
@@ -296,9 +315,9 @@
 	return &p.servers[w.server].queue
 }
 
-func (p *Pool) hasOpenServer() bool {
+func (p *Pool) hasServer(test func(*server) bool) bool {
 	for _, s := range p.servers {
-		if s.open {
+		if test(s) {
 			return true
 		}
 	}
@@ -345,7 +364,7 @@
 // choose returns the cheapest server with room, or nil.
 func (p *Pool) choose(w *waiter) *server {
 	if w.server != "" {
-		if s := p.servers[w.server]; s != nil && s.hasRoom(w.background) {
+		if s := p.servers[w.server]; s != nil && s.hasRoom(w.background, p.now()) {
 			return s
 		}
 		return nil
@@ -355,7 +374,7 @@
 	bestCost := 0.0
 	for _, name := range p.order {
 		s := p.servers[name]
-		if !s.hasRoom(w.background) {
+		if !s.hasRoom(w.background, now) {
 			continue
 		}
 		cost := s.cost() * penalty(s, w, now)
@@ -450,11 +469,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best := -1.0
+	now := p.now()
 	for _, s := range p.servers {
 		if !s.open {
 			continue
 		}
-		if cost := s.cost(); best < 0 || cost < best {
+		cost := s.cost() + max(s.rested.Sub(now), 0).Seconds()
+		if best < 0 || cost < best {
 			best = cost
 		}
 	}
--- a/pkg/admission/server.go
+++ b/pkg/admission/server.go
@@ -47,9 +47,12 @@
 	boot       string
 	latency    ewma
 	failures   int
-	ejected    time.Time
-	queue      queue
-	served     int64
+	// sheds counts the refusals in a row; no request goes out before rested.
+	sheds   int
+	rested  time.Time
+	ejected time.Time
+	queue   queue
+	served  int64
 }
 
 func newServer(config ServerConfig) *server {
@@ -57,8 +60,8 @@
 }
 
 // hasRoom reports whether one more request may start.
-func (s *server) hasRoom(background bool) bool {
-	if !s.open {
+func (s *server) hasRoom(background bool, now time.Time) bool {
+	if !s.open || now.Before(s.rested) {
 		return false
 	}
 	if background && s.config.Slots > 1 && s.background >= s.config.Slots-1 {
@@ -84,11 +87,13 @@
 	switch verdict {
 	case VerdictSuccess:
 		s.failures = 0
+		s.sheds = 0
 		s.served++
 		s.latency.add(took)
 		s.limit = min(s.limit+1/s.limit, float64(s.config.Slots))
 	case VerdictShed:
 		s.chill()
+		s.sheds++
 	case VerdictFailed:
 		s.failures++
 		s.latency.add(took)
@@ -101,6 +106,18 @@
 	}
 }
 
+const (
+	firstRest   = 50 * time.Millisecond
+	longestRest = time.Second
+	mostDoubled = 5
+)
+
+// rest returns how long the server is left alone after it shed. One that sheds
+// answers faster than any other, and would draw all requests to it.
+func (s *server) rest() time.Duration {
+	return min(firstRest<<min(s.sheds-1, mostDoubled), longestRest)
+}
+
 // chill starts the ramp anew.
 func (s *server) chill() {
 	s.limit = float64(s.config.ColdLimit)
--- a/pkg/caller/attempt.go
+++ b/pkg/caller/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/admission"
 	"github.com/redwingstall/redwingstall/pkg/backend"
 	"github.com/redwingstall/redwingstall/pkg/home"
 	"github.com/redwingstall/redwingstall/pkg/membership"
@@ -54,6 +55,7 @@
 	answer, err := r.dispatch(ctx, q, target{pool, member}, header)
 	if err != nil {
 		costs.end(pool.Name)
+		r.learnFailure(costs, target{pool, member}, err)
 		return nil, err
 	}
 	costs.learn(pool.Name, answer.Header.Get(redwingstall.HeaderCost), r.now())
@@ -62,6 +64,28 @@
 	return answer, nil
 }
 
+// learnFailure takes in what a pool without an answer costs.
+func (r *Router) learnFailure(costs *poolCosts, to target, err error) {
+	failed := &hopError{}
+	switch {
+	case to.member.ID == r.common.Self.ID:
+		costs.learn(to.pool.Name, r.costText(to.pool.Name), r.now())
+	case errors.As(err, &failed):
+		costs.learn(to.pool.Name, failed.cost, r.now())
+	case asAttempt(err).Reason == reasonPeerFailed:
+		costs.learn(to.pool.Name, strconv.FormatFloat(worstCost, 'g', -1, 64), r.now())
+	}
+}
+
+// hopError is the cause of a refusal by another instance.
+type hopError struct {
+	// cost is the home instance's word on its pool, in seconds.
+	cost string
+}
+
+// Error names the layer.
+func (e *hopError) Error() string { return "refused by the home instance" }
+
 func (r *Router) dispatch(ctx context.Context, q *request, to target, header http.Header) (*http.Response, error) {
 	if to.member.ID == r.common.Self.ID {
 		return r.parts.Homes.Do(ctx, q.call(to.pool.Name, header))
@@ -152,7 +176,11 @@
 	if outcome != redwingstall.OutcomeNotRun {
 		outcome = redwingstall.OutcomeUnknown
 	}
-	return nil, &backend.AttemptError{Outcome: outcome, Reason: reason}
+	return nil, &backend.AttemptError{
+		Outcome: outcome,
+		Reason:  reason,
+		Cause:   &hopError{answer.Header.Get(redwingstall.HeaderCost)},
+	}
 }
 
 const maxRefusalBytes = 4 << 10
@@ -188,7 +216,7 @@
 	}
 	switch attempt.Reason {
 	case home.ReasonNotHome, home.ReasonNoOwner, home.ReasonLapsed, reasonNoHome, reasonPeerFailed,
-		"poolClosed", "serverOut", "noServer", string(redwingstall.RefusalNotOwner), string(redwingstall.RefusalDraining),
+		admission.ReasonClosed, admission.ReasonServerOut, admission.ReasonNoServer, admission.ReasonResting, string(redwingstall.RefusalNotOwner), string(redwingstall.RefusalDraining),
 		backend.ReasonConnect:
 		return true
 	}
--- a/pkg/caller/forwarded.go
+++ b/pkg/caller/forwarded.go
@@ -44,13 +44,13 @@
 	defer release()
 	pool := incoming.Header.Get(redwingstall.HeaderPool)
 	answer, err := r.parts.Homes.Do(ctx, q.call(pool, q.header))
+	w.Header().Set(redwingstall.HeaderCost, r.costText(pool))
 	if err != nil {
 		r.refuseAttempt(w, asAttempt(err))
 		return
 	}
 	defer answer.Body.Close()
 	beginAnswer(ctx)
-	w.Header().Set(redwingstall.HeaderCost, r.costText(pool))
 	writeHeader(w, answer)
 	if err := r.copyBody(ctx, w, answer, newProgress(answer)); err != nil {
 		r.common.Count("answers.cutAtHome")
--- a/pkg/caller/policy.go
+++ b/pkg/caller/policy.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -14,8 +15,10 @@
 	// hedgeRank is the quantile of recent answers after which a hedge goes out.
 	hedgeRank     = 0.95
 	shortestHedge = 2 * time.Millisecond
-	// costLasts is how long a pool's own word on its load is believed.
-	costLasts = time.Second
+	// costHalves is the time in which a pool's own word loses half its weight.
+	costHalves = time.Second
+	// worstCost in seconds is that of a pool that takes nothing.
+	worstCost = 2.0
 )
 
 // policies keeps one policy for each service. It is safe for concurrent use.
@@ -74,11 +77,15 @@
 	at      time.Time
 }
 
+// learn takes a home instance's word.
 func (c *poolCosts) learn(pool, text string, now time.Time) {
 	seconds, err := strconv.ParseFloat(text, 64)
 	if err != nil {
 		return
 	}
+	if seconds < 0 {
+		seconds = worstCost
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.known[pool] = poolCost{seconds, now}
@@ -96,21 +103,19 @@
 	c.sent[pool]--
 }
 
-// cost returns the expected time at a pool; one that nothing is known of is
-// cheap, so that it is tried.
+// cost returns the expected time at a pool. What a home instance said loses
+// half of its weight each second, so that a pool that was bad is tried again.
 func (c *poolCosts) cost(pool string, now time.Time) float64 {
 	const smallest = 0.0001
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.known[pool]
-	seconds := smallest
-	if now.Sub(known.at) < costLasts && known.seconds > smallest {
-		seconds = known.seconds
-	}
+	age := now.Sub(known.at).Seconds() / costHalves.Seconds()
+	seconds := max(known.seconds*math.Exp2(-age), smallest)
 	return seconds * float64(1+c.sent[pool])
 }
 
-// Refused is one refusal as callers are told.
+// refused is one refusal as callers are told.
 type refused struct {
 	outcome redwingstall.Outcome
 	reason  string
--- a/pkg/standin/command/command.go
+++ b/pkg/standin/command/command.go
@@ -27,6 +27,7 @@
 	Backends *backendsCommand `arg:"subcommand:backends" help:"run the backend servers of an account"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"send a load and print what came of it"`
 	Capacity *struct{}        `arg:"subcommand:capacity" help:"measure real parts at several sizes"`
+	Balance  *struct{}        `arg:"subcommand:balance" help:"compare policies of balancing under one load"`
 }
 
 type platformCommand struct {
@@ -86,6 +87,9 @@
 		return runBackends(ctx, *a.Backends)
 	case a.Load != nil:
 		return runLoad(ctx, *a.Load, stdout)
+	case a.Balance != nil:
+		standin.MeasureBalance(stdout)
+		return nil
 	case a.Capacity != nil:
 		standin.MeasureCapacity(stdout)
 		return nil
