--- /dev/null
+++ b/pkg/admission/example_test.go
@@ -0,0 +1,28 @@
+package admission_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/admission"
+)
+
+// A server in a cold start takes one request at a time.
+func Example() {
+	pool := admission.NewPool(redwingstall.SystemClock{})
+	pool.Configure([]admission.ServerConfig{{Name: "pack-1", Slots: 4, ColdLimit: 1}})
+	pool.Open()
+	pool.Observe("pack-1", admission.Observation{Boot: "b1", Open: true})
+
+	deadline := time.Now().Add(time.Millisecond)
+	lease, _ := pool.Acquire(context.Background(), admission.Request{Deadline: deadline})
+	fmt.Println(lease.Server())
+	_, err := pool.Acquire(context.Background(), admission.Request{Deadline: deadline})
+	fmt.Println(err != nil)
+	lease.End(admission.VerdictSuccess)
+	// Output:
+	// pack-1
+	// true
+}
--- a/pkg/caller/forwarded.go
+++ b/pkg/caller/forwarded.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -23,21 +22,28 @@
 // ForwardHandler serves requests that other instances forward.
 func (r *Router) ForwardHandler() http.Handler {
 	mux := flow.New()
-	mux.HandleFunc(peer.ForwardPrefix+roleHome, r.asHome)
-	mux.HandleFunc(peer.ForwardPrefix+roleJournal, r.asJournal)
+	mux.HandleFunc(peer.ForwardPrefix+roleHome, r.forwarded(r.asHome))
+	mux.HandleFunc(peer.ForwardPrefix+roleJournal, r.forwarded(r.asJournal))
 	return mux
 }
 
-// asHome carries out one attempt as home instance.
-func (r *Router) asHome(w http.ResponseWriter, incoming *http.Request) {
-	r.active.Add(1)
-	defer r.active.Done()
-	q, bad := r.parseForwarded(incoming)
-	if bad != nil {
-		r.refuse(w, refused{redwingstall.OutcomeNotRun, bad.reason, bad.status, bad.detail})
-		return
+// forwarded reads another instance's request back for a role. The sender ends
+// it by closing the connection.
+func (r *Router) forwarded(role func(w http.ResponseWriter, incoming *http.Request, q *request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, incoming *http.Request) {
+		r.active.Add(1)
+		defer r.active.Done()
+		q, bad := r.parseForwarded(incoming)
+		if bad != nil {
+			r.refuse(w, refused{redwingstall.OutcomeNotRun, bad.reason, bad.status, bad.detail})
+			return
+		}
+		role(w, incoming, q)
 	}
-	// The entry instance ends the attempt by closing the connection.
+}
+
+// asHome carries out one attempt as home instance.
+func (r *Router) asHome(w http.ResponseWriter, incoming *http.Request, q *request) {
 	ctx, cancel := context.WithDeadline(incoming.Context(), q.deadline)
 	defer cancel()
 	ctx, release := r.answerContext(incoming.Context(), ctx)
@@ -63,14 +69,7 @@
 }
 
 // asJournal carries out a request as the keeper of its bucket.
-func (r *Router) asJournal(w http.ResponseWriter, incoming *http.Request) {
-	r.active.Add(1)
-	defer r.active.Done()
-	q, bad := r.parseForwarded(incoming)
-	if bad != nil {
-		r.refuse(w, refused{redwingstall.OutcomeNotRun, bad.reason, bad.status, bad.detail})
-		return
-	}
+func (r *Router) asJournal(w http.ResponseWriter, incoming *http.Request, q *request) {
 	ctx, cancel := context.WithDeadline(incoming.Context(), q.deadline)
 	defer cancel()
 	answer, err := r.journaled(ctx, q)
@@ -89,12 +88,11 @@
 	if !ok {
 		return nil, &problem{http.StatusServiceUnavailable, home.ReasonNotHome, "this instance does not know the service"}
 	}
-	address := &url.URL{Path: incoming.URL.Path, RawQuery: incoming.URL.RawQuery}
 	q := &request{
 		account:        account,
 		service:        found,
 		key:            incoming.Header.Get(headerKey),
-		query:          address.RawQuery,
+		query:          incoming.URL.RawQuery,
 		method:         incoming.Method,
 		header:         cleanHeader(incoming.Header),
 		id:             incoming.Header.Get(redwingstall.HeaderRequestID),
--- /dev/null
+++ b/pkg/grant/example_test.go
@@ -0,0 +1,28 @@
+package grant_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/grant"
+)
+
+// A home instance renews a grant; an order that arrives late extends nothing.
+func Example() {
+	table := grant.NewTable("boot-1", true)
+	issuer := grant.NewIssuer(1500 * time.Millisecond)
+	now := time.Unix(0, 0)
+
+	issuer.Observe(now, redwingstall.OrderAnswer{Boot: table.Boot(), Clock: time.Hour})
+	confirmed := now.Add(100 * time.Millisecond)
+	order, _ := issuer.Order("catalogue", confirmed, []redwingstall.Grant{{Shard: "s7", Fence: 3}})
+	table.Grant(order)
+
+	fmt.Println(table.Holds(time.Hour+time.Second, "s7", "voice"))
+	table.Grant(order) // doubled on the way
+	fmt.Println(table.Holds(time.Hour+1600*time.Millisecond, "s7", "voice"))
+	// Output:
+	// true
+	// false
+}
--- /dev/null
+++ b/pkg/journal/example_test.go
@@ -0,0 +1,27 @@
+package journal_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/redwingstall/redwingstall/pkg/journal"
+)
+
+// A charge runs once; asking again gives the recorded answer.
+func Example() {
+	ctx := context.Background()
+	j := journal.NewJournal(journal.Config{
+		Store: newStore(), Self: "entry1@a", IsAlive: everyoneAlive,
+		Retention: time.Hour, Buckets: journal.DefaultBuckets, MaxAnswerBytes: 1024,
+	})
+	request := journal.Request{Account: "dairy", Service: "charging", Key: "k1", Digest: "d"}
+	verdict, entry, _ := j.Start(ctx, request)
+	fmt.Println(verdict)
+	_ = j.Complete(ctx, request, entry.Attempt, journal.Answer{Status: 200, Body: []byte("paid")})
+	verdict, entry, _ = j.Start(ctx, request)
+	fmt.Println(verdict, string(entry.Answer.Body))
+	// Output:
+	// run
+	// replay paid
+}
--- a/pkg/operator/queries.go
+++ b/pkg/operator/queries.go
@@ -51,12 +51,17 @@
 }
 
 func (a *API) showTemplate(w http.ResponseWriter, r *http.Request) {
-	template, found := a.document().Templates[r.PathValue("name")]
+	showNamed(a, w, "template", r.PathValue("name"), a.document().Templates)
+}
+
+// showNamed answers with the value of a name, or refuses.
+func showNamed[V any](a *API, w http.ResponseWriter, kind, name string, values map[string]V) {
+	value, found := values[name]
 	if !found {
-		a.refuse(w, errors.Wrapf(ErrNotFound, "template %q", r.PathValue("name")))
+		a.refuse(w, errors.Wrapf(ErrNotFound, "%s %q", kind, name))
 		return
 	}
-	wire.Write(w, http.StatusOK, template)
+	wire.Write(w, http.StatusOK, value)
 }
 
 func (a *API) listAccounts(w http.ResponseWriter, _ *http.Request) {
@@ -64,12 +69,7 @@
 }
 
 func (a *API) showAccount(w http.ResponseWriter, r *http.Request) {
-	account, found := a.document().Accounts[r.PathValue("name")]
-	if !found {
-		a.refuse(w, errors.Wrapf(ErrNotFound, "account %q", r.PathValue("name")))
-		return
-	}
-	wire.Write(w, http.StatusOK, account)
+	showNamed(a, w, "account", r.PathValue("name"), a.document().Accounts)
 }
 
 func (a *API) renderAccount(w http.ResponseWriter, r *http.Request) {
--- a/scripts/measure/lib.sh
+++ b/scripts/measure/lib.sh
@@ -55,3 +55,24 @@
 ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; } # hundredths of a second of processor time
 resident() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; } # KiB
 field() { sed -n "s/^  \"$1\": \([0-9.]*\),*$/\1/p"; }
+write_packs() { # a pooled service of 8 servers over 4 failure domains
+cat >"$work/packs.toml" <<'END'
+name = "packs"
+body = """
+[[services]]
+name = "dictionary"
+kind = "replicated"
+{{ range $i := seq 8 }}
+[[services.servers]]
+name = "d{{ $i }}"
+address = "127.0.0.1:{{ add 24010 $i }}"
+failureDomain = "{{ pick $.domains $i }}"
+slots = 4
+connections = 100
+{{ end }}
+"""
+[parameters.domains]
+type = "strings"
+default = "a,b,c,d"
+END
+}
--- a/scripts/measure/storm.sh
+++ b/scripts/measure/storm.sh
@@ -5,25 +5,7 @@
 set -eu
 cd "$(dirname "$0")/../.."
 . scripts/measure/lib.sh
-cat >"$work/packs.toml" <<'END'
-name = "packs"
-body = """
-[[services]]
-name = "dictionary"
-kind = "replicated"
-{{ range $i := seq 8 }}
-[[services.servers]]
-name = "d{{ $i }}"
-address = "127.0.0.1:{{ add 24010 $i }}"
-failureDomain = "{{ pick $.domains $i }}"
-slots = 4
-connections = 100
-{{ end }}
-"""
-[parameters.domains]
-type = "strings"
-default = "a,b,c,d"
-END
+write_packs
 platform
 start backends.log ./bin/standin backends --template "$work/packs.toml" --work 50ms
 for n in 1 2 3 4; do entry $n "$(echo a b c d | cut -d' ' -f$n)"; done
--- a/scripts/measure/stragglers.sh
+++ b/scripts/measure/stragglers.sh
@@ -5,25 +5,7 @@
 set -eu
 cd "$(dirname "$0")/../.."
 . scripts/measure/lib.sh
-cat >"$work/packs.toml" <<'END'
-name = "packs"
-body = """
-[[services]]
-name = "dictionary"
-kind = "replicated"
-{{ range $i := seq 8 }}
-[[services.servers]]
-name = "d{{ $i }}"
-address = "127.0.0.1:{{ add 24010 $i }}"
-failureDomain = "{{ pick $.domains $i }}"
-slots = 4
-connections = 100
-{{ end }}
-"""
-[parameters.domains]
-type = "strings"
-default = "a,b,c,d"
-END
+write_packs
 rate=${RATE:-400}
 seconds=20
 runs() { for i in 0 1 2 3 4 5 6 7; do curl -s http://127.0.0.1:$((24010 + i))/stats; done | grep -o '"runs":[0-9]*' | cut -d: -f2 | paste -sd+ | bc; }
