A canceled attempt raises its server's estimate at once

Change: the estimate rises to what the canceled attempt took, which is a lower bound of the answer's time.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 GO ?= go
 
-.PHONY: build demo test lint unit explore bench capacity generate fuzz
+.PHONY: build demo test lint unit explore bench capacity plots generate fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -33,11 +33,18 @@
 	./scripts/measure/path.sh
 	./scripts/measure/stragglers.sh
 	./scripts/measure/departure.sh
+	./scripts/measure/storm.sh
+	./scripts/measure/charges.sh
+	./bin/standin balance
 
 capacity: build
 	./bin/standin capacity
 	./scripts/measure/instances.sh
 
+# Draws docs/data, which the measurements write, as docs/plots.
+plots: build
+	./bin/standin plots --from docs/data --to docs/plots
+
 fuzz:
 	$(GO) test ./pkg/templates -fuzz FuzzParseTemplate -fuzztime 60s
 	$(GO) test ./pkg/templates -fuzz FuzzParseDeployment -fuzztime 60s
--- a/pkg/admission/server.go
+++ b/pkg/admission/server.go
@@ -100,9 +100,7 @@
 	case VerdictCanceled:
 		// The answer would have taken longer yet: a hedge that won elsewhere
 		// must not hide how slow the server is.
-		if took.Seconds() > s.latency.seconds() {
-			s.latency.add(took)
-		}
+		s.latency.raise(took)
 	}
 }
 
@@ -148,4 +146,11 @@
 	e.value += ewmaGain * (latency.Seconds() - e.value)
 }
 
+// raise takes in that a value was at least so much.
+func (e *ewma) raise(least time.Duration) {
+	if e.known {
+		e.value = max(e.value, least.Seconds())
+	}
+}
+
 func (e *ewma) seconds() float64 { return e.value }
--- a/pkg/standin/command/command.go
+++ b/pkg/standin/command/command.go
@@ -27,6 +27,7 @@
 	Backends *backendsCommand `arg:"subcommand:backends" help:"run the backend servers of an account"`
 	Load     *loadCommand     `arg:"subcommand:load" help:"send a load and print what came of it"`
 	Capacity *struct{}        `arg:"subcommand:capacity" help:"measure real parts at several sizes"`
+	Plots    *plotsCommand    `arg:"subcommand:plots" help:"draw CSV files as SVG"`
 	Balance  *struct{}        `arg:"subcommand:balance" help:"compare policies of balancing under one load"`
 }
 
@@ -45,6 +46,11 @@
 	WarmAfter int           `arg:"--warm-after" default:"20"`
 }
 
+type plotsCommand struct {
+	From string `arg:"--from,required" help:"folder of the CSV files"`
+	To   string `arg:"--to,required" help:"folder of the SVG files"`
+}
+
 type loadCommand struct {
 	Targets  string        `arg:"--targets,required" help:"addresses with commas between"`
 	Path     string        `arg:"--path,required"`
@@ -87,6 +93,8 @@
 		return runBackends(ctx, *a.Backends)
 	case a.Load != nil:
 		return runLoad(ctx, *a.Load, stdout)
+	case a.Plots != nil:
+		return standin.DrawPlots(a.Plots.From, a.Plots.To)
 	case a.Balance != nil:
 		standin.MeasureBalance(stdout)
 		return nil
