A given-up attempt holds its slot until the server has noticed

An answer dropped before its end counted as a success besides. Ruled out: two homes (the search), and requests of the lost home (none came after its connections had closed). Change: such slots linger until an order's answer, asked for at once and then every 20 ms, shows that the server has ended them. TestHopelessRequestIsRefusedEarly and TestNeverAboveTheLimit now tell the pool what the server counts, as package home does; their bounds stand.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 	./scripts/measure/departure.sh
 	./scripts/measure/storm.sh
 	./scripts/measure/charges.sh
+	./scripts/measure/slowreaders.sh
 	./bin/standin balance
 
 capacity: build
--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -123,7 +123,7 @@
 	}
 	outcome := <-w.ready
 	if outcome.lease != nil {
-		outcome.lease.End(VerdictCanceled)
+		outcome.lease.Return()
 	}
 	return nil, &RefusalError{reason}
 }
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -125,6 +125,10 @@
 	Boot string
 	// Foreign counts the requests of other home instances at the server.
 	Foreign int
+	// Own counts the requests of this home instance at the server, and Sent
+	// those that it had under way when it asked.
+	Own  int
+	Sent int
 	// Open is set if the server may get new work.
 	Open bool
 }
@@ -144,6 +148,9 @@
 		s.boot = seen.Boot
 	}
 	s.foreign = seen.Foreign
+	// What the server counts beyond the requests that were under way all along
+	// was given up here and goes on there.
+	s.lingering = max(seen.Own-min(seen.Sent, s.inFlight), 0)
 	if s.open && !seen.Open {
 		refuseAll(s.queue.drain(), ReasonServerOut)
 	}
@@ -154,6 +161,18 @@
 	p.serve()
 }
 
+// InFlight returns the requests under way at a server, and whether there are
+// slots that only the server can give back.
+func (p *Pool) InFlight(name string) (n int, isLingering bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[name]
+	if s == nil {
+		return 0, false
+	}
+	return s.inFlight, s.lingering > 0
+}
+
 // Restore sets a limit that a former home instance handed over, if the server
 // has not started anew since.
 func (p *Pool) Restore(limit redwingstall.ServerLimit) {
@@ -195,6 +214,11 @@
 	l.EndAfter(verdict, l.pool.now().Sub(l.started))
 }
 
+// Return gives the slot back of an attempt that was never sent.
+func (l *Lease) Return() {
+	l.EndAfter(VerdictRefused, 0)
+}
+
 // EndAfter is End with the time to the first byte, where the rest of the
 // answer says nothing of the server's speed.
 func (l *Lease) EndAfter(verdict Verdict, took time.Duration) {
--- a/pkg/admission/pool_test.go
+++ b/pkg/admission/pool_test.go
@@ -93,6 +93,7 @@
 		lease, err := pool.Acquire(t.Context(), within(time.Second))
 		require.NoError(t, err)
 		lease.EndAfter(admission.VerdictFailed, 500*time.Millisecond)
+		pool.Observe("a", admission.Observation{Boot: "b1", Open: true})
 		_, err = pool.Acquire(t.Context(), within(time.Minute))
 		require.NoError(t, err)
 		began := time.Now()
@@ -199,6 +200,7 @@
 					inFlight[lease.Server()]--
 					mu.Unlock()
 					lease.End(admission.Verdict(random.IntN(40) / 39))
+					pool.Observe(lease.Server(), admission.Observation{Boot: "b1", Open: true})
 				}
 			})
 		}
@@ -263,3 +265,24 @@
 		lease.End(admission.VerdictSuccess)
 	})
 }
+
+// An attempt that was given up holds its slot until the server has noticed.
+func TestGivenUpAttemptHoldsItsSlot(t *testing.T) {
+	pool := openPool("a")
+	warm(t, pool, "a")
+	leases := []*admission.Lease{}
+	for range 4 {
+		lease, err := pool.Acquire(t.Context(), within(time.Minute))
+		require.NoError(t, err)
+		leases = append(leases, lease)
+	}
+	leases[0].End(admission.VerdictCanceled)
+	_, err := pool.Acquire(t.Context(), within(time.Microsecond))
+	require.Error(t, err, "the server may still run it")
+	pool.Observe("a", admission.Observation{Boot: "b1", Own: 4, Sent: 3, Open: true})
+	_, err = pool.Acquire(t.Context(), within(time.Microsecond))
+	require.Error(t, err, "the server does run it")
+	pool.Observe("a", admission.Observation{Boot: "b1", Own: 3, Sent: 3, Open: true})
+	_, err = pool.Acquire(t.Context(), within(time.Minute))
+	require.NoError(t, err)
+}
--- a/pkg/admission/server.go
+++ b/pkg/admission/server.go
@@ -41,7 +41,10 @@
 	limit    float64
 	inFlight int
 	// foreign counts the requests of former home instances.
-	foreign    int
+	foreign int
+	// lingering counts attempts that were given up here and that the server may
+	// not have noticed yet.
+	lingering  int
 	background int
 	open       bool
 	boot       string
@@ -67,7 +70,7 @@
 	if background && s.config.Slots > 1 && s.background >= s.config.Slots-1 {
 		return false
 	}
-	return s.inFlight+s.foreign < int(s.limit)
+	return s.inFlight+s.foreign+s.lingering < int(s.limit)
 }
 
 // start counts a request in.
@@ -95,9 +98,11 @@
 		s.chill()
 		s.sheds++
 	case VerdictFailed:
+		s.lingering++
 		s.failures++
 		s.latency.add(took)
 	case VerdictCanceled:
+		s.lingering++
 		// The answer would have taken longer yet: a hedge that won elsewhere
 		// must not hide how slow the server is.
 		s.latency.raise(took)
@@ -124,7 +129,7 @@
 // cost is the time a further request is likely to take here.
 func (s *server) cost() float64 {
 	const shortest = 0.0001
-	ahead := float64(s.inFlight + s.foreign + s.queue.len() + 1)
+	ahead := float64(s.inFlight + s.foreign + s.lingering + s.queue.len() + 1)
 	return ahead / max(s.limit, 1) * max(s.latency.seconds(), shortest)
 }
 
--- a/pkg/home/call.go
+++ b/pkg/home/call.go
@@ -99,7 +99,7 @@
 	s := p.server(lease.Server())
 	now := p.homes.common.Clock.Now()
 	if s == nil || !p.isActing(now) {
-		lease.End(admission.VerdictCanceled)
+		lease.Return()
 		return nil, backend.NotRun(ReasonLapsed)
 	}
 	if owner.shard != "" {
@@ -116,6 +116,9 @@
 	answer.Header.Set(redwingstall.HeaderServer, s.config.Name)
 	answer.Body = &leasedBody{ReadCloser: answer.Body, end: func(verdict admission.Verdict) {
 		lease.EndAfter(verdict, took)
+		if verdict != admission.VerdictSuccess {
+			s.wake()
+		}
 		release()
 	}}
 	return answer, nil
@@ -178,6 +181,7 @@
 	}
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		lease.EndAfter(admission.VerdictCanceled, took)
+		s.wake()
 		return
 	}
 	lease.EndAfter(admission.VerdictFailed, took)
@@ -187,28 +191,32 @@
 // leasedBody gives the slot back when the answer has been read or dropped.
 type leasedBody struct {
 	io.ReadCloser
-	once   sync.Once
-	failed bool
-	end    func(admission.Verdict)
+	once    sync.Once
+	verdict admission.Verdict
+	isRead  bool
+	end     func(admission.Verdict)
 }
 
 func (b *leasedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) {
-		b.failed = true
+	switch {
+	case errors.Is(err, io.EOF):
+		b.isRead = true
+	case err != nil:
+		b.verdict = admission.VerdictFailed
 	}
 	return n, err
 }
 
-// Close ends the lease.
+// Close ends the lease. An answer that was not read to its end is still being
+// sent, until the server notices.
 func (b *leasedBody) Close() error {
 	err := b.ReadCloser.Close()
 	b.once.Do(func() {
-		if b.failed {
-			b.end(admission.VerdictFailed)
-			return
+		if !b.isRead && b.verdict == admission.VerdictSuccess {
+			b.verdict = admission.VerdictCanceled
 		}
-		b.end(admission.VerdictSuccess)
+		b.end(b.verdict)
 	})
 	return err
 }
--- a/pkg/home/server.go
+++ b/pkg/home/server.go
@@ -74,6 +74,9 @@
 	// the other, within the time after which a server is lost.
 	ordersBeforeLoss = 4
 	missedPause      = 50 * time.Millisecond
+	// lingeringPause is the time between two orders while the server may run
+	// attempts that were given up here.
+	lingeringPause = 20 * time.Millisecond
 )
 
 // pooledRounds is the number of voting rounds between two orders to a server
@@ -100,7 +103,10 @@
 // asked again soon, whatever its kind.
 func (p *pool) nextOrder(s *server, answered bool) time.Duration {
 	period := p.homes.common.Settings.Timing.ConfirmEvery
+	_, isLingering := p.admission.InFlight(s.config.Name)
 	switch {
+	case isLingering:
+		return lingeringPause
 	case !answered && !s.isLost():
 		return missedPause
 	case answered && p.info.Service.Kind != templates.KindKeyed:
@@ -116,6 +122,7 @@
 	bounded, cancel := context.WithTimeout(ctx, timing.ServerLostAfter/ordersBeforeLoss)
 	defer cancel()
 	order, justified := p.grantOrder(s)
+	sent, _ := p.admission.InFlight(s.config.Name)
 	var answer redwingstall.OrderAnswer
 	var err error
 	if justified {
@@ -132,7 +139,7 @@
 		return false
 	}
 	p.homes.common.Count("orders.answered")
-	p.learn(s, now, answer)
+	p.learn(s, now, answer, sent)
 	return true
 }
 
@@ -170,7 +177,7 @@
 	}
 }
 
-func (p *pool) learn(s *server, now time.Time, answer redwingstall.OrderAnswer) {
+func (p *pool) learn(s *server, now time.Time, answer redwingstall.OrderAnswer, sent int) {
 	s.mu.Lock()
 	wasLost := s.lost
 	isNew := s.issuer.Observe(now, answer)
@@ -196,6 +203,8 @@
 	p.admission.Observe(s.config.Name, admission.Observation{
 		Boot:    answer.Boot,
 		Foreign: foreign,
+		Own:     answer.InFlight[p.homes.common.Self.ID],
+		Sent:    sent,
 		Open:    p.mayWork(s, now),
 	})
 }
