No grant rests on a clock reading that has grown old

Cause: a grant's end is reckoned from the last reading of the server's clock. Ruled out: the votes (a blocking set knew at 6.507 s) and late orders. Change: no order if the reading is older than a lifetime before the round; the wait is longer by four times the bound on clock rates instead of two, which covers two lifetimes of the server's clock and one of the mover's. Proved in the small by grant.TestOldClockReadingJustifiesNothing.

--- a/pkg/grant/grant_test.go
+++ b/pkg/grant/grant_test.go
@@ -46,3 +46,17 @@
 	require.True(t, justified)
 	require.Equal(t, time.Hour+time.Second+time.Millisecond, order.ValidUntil)
 }
+
+// Found by the search with other seeds: while a server's answers are lost and
+// orders still arrive, the clock last read grows old, and the clocks' difference
+// in rate makes each grant a little longer than the mover waits for.
+func TestOldClockReadingJustifiesNothing(t *testing.T) {
+	issuer := grant.NewIssuer(time.Second)
+	read := time.Unix(100, 0)
+	issuer.Observe(read, redwingstall.OrderAnswer{Boot: "b1", Clock: time.Hour})
+	grants := []redwingstall.Grant{{Shard: "s1", Fence: 1}}
+	_, justified := issuer.Order("s", read.Add(time.Second), grants)
+	require.True(t, justified)
+	_, justified = issuer.Order("s", read.Add(time.Second+time.Millisecond), grants)
+	require.False(t, justified)
+}
--- a/pkg/grant/issuer.go
+++ b/pkg/grant/issuer.go
@@ -47,11 +47,16 @@
 // Order returns the order that extends grants, or false where no order is
 // justified: the server's clock is unknown, or the round that confirmed the
 // rights began before the server's process was first seen. The latter could
-// renew, at a process that has forgotten it, a grant that was released.
+// renew, at a process that has forgotten it, a grant that was released. So is
+// the clock if it was read long before the round: the two clocks' difference in
+// rate would add up meanwhile.
 func (i *Issuer) Order(service string, confirmed time.Time, grants []redwingstall.Grant) (redwingstall.GrantOrder, bool) {
 	if i.boot == "" || !confirmed.After(i.bootSeen) || len(grants) == 0 {
 		return redwingstall.GrantOrder{}, false
 	}
+	if confirmed.Sub(i.read) > i.lifetime {
+		return redwingstall.GrantOrder{}, false
+	}
 	left := confirmed.Add(i.lifetime).Sub(i.read)
 	return redwingstall.GrantOrder{
 		Service:    service,
--- a/pkg/membership/timing.go
+++ b/pkg/membership/timing.go
@@ -13,7 +13,9 @@
 }
 
 // Wait is the time on one clock in which a lifetime has passed on every other.
+// A server's clock may have been read a lifetime before the round, so that its
+// difference in rate counts for two lifetimes, and the own one's for another.
 func (t Timing) Wait() time.Duration {
-	const clocks = 2
-	return t.Lifetime + time.Duration(clocks*t.RateBound*float64(t.Lifetime))
+	const differences = 4
+	return t.Lifetime + time.Duration(differences*t.RateBound*float64(t.Lifetime))
 }
