Read-through: doubled and dead pieces taken out

The cost of a pool was written as text and read back inside one process; text is now only what goes into the header. Taken out, since nothing called them: Candidate.Lapsed, Pool.String, one header name, an empty continue.

--- a/outcome.go
+++ b/outcome.go
@@ -32,7 +32,6 @@
 	HeaderPool           = "Redwing-Pool"
 	HeaderDeadline       = "Redwing-Deadline"
 	HeaderRole           = "Redwing-Role"
-	HeaderTraceHome      = "Redwing-Served-By"
 )
 
 // PriorityBackground is the value of HeaderPriority for work that may wait.
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
@@ -316,9 +315,3 @@
 	}
 	return best * float64(1+p.shared.len())
 }
-
-// String renders the pool's size for logs.
-func (p *Pool) String() string {
-	rows, queued := p.Status()
-	return fmt.Sprintf("pool of %d servers, %d queued", len(rows), queued)
-}
--- a/pkg/caller/attempt.go
+++ b/pkg/caller/attempt.go
@@ -58,7 +58,7 @@
 		r.learnFailure(costs, target{pool, member}, err)
 		return nil, err
 	}
-	costs.learn(pool.Name, answer.Header.Get(redwingstall.HeaderCost), r.now())
+	costs.learnText(pool.Name, answer.Header.Get(redwingstall.HeaderCost), r.now())
 	answer.Header.Set(redwingstall.HeaderPool, pool.Name)
 	answer.Body = &closeHook{ReadCloser: answer.Body, hook: func() { costs.end(pool.Name) }}
 	return answer, nil
@@ -69,11 +69,11 @@
 	failed := &hopError{}
 	switch {
 	case to.member.ID == r.common.Self.ID:
-		costs.learn(to.pool.Name, r.costText(to.pool.Name), r.now())
+		costs.learn(to.pool.Name, r.parts.Homes.Cost(to.pool.Name), r.now())
 	case errors.As(err, &failed):
-		costs.learn(to.pool.Name, failed.cost, r.now())
+		costs.learnText(to.pool.Name, failed.cost, r.now())
 	case asAttempt(err).Reason == reasonPeerFailed:
-		costs.learn(to.pool.Name, strconv.FormatFloat(worstCost, 'g', -1, 64), r.now())
+		costs.learn(to.pool.Name, worstCost, r.now())
 	}
 }
 
--- a/pkg/caller/policy.go
+++ b/pkg/caller/policy.go
@@ -77,12 +77,16 @@
 	at      time.Time
 }
 
-// learn takes a home instance's word.
-func (c *poolCosts) learn(pool, text string, now time.Time) {
-	seconds, err := strconv.ParseFloat(text, 64)
-	if err != nil {
-		return
+// learnText takes a home instance's word from an answer's header.
+func (c *poolCosts) learnText(pool, text string, now time.Time) {
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+		c.learn(pool, seconds, now)
 	}
+}
+
+// learn takes a home instance's word; a negative cost is a pool that takes
+// nothing.
+func (c *poolCosts) learn(pool string, seconds float64, now time.Time) {
 	if seconds < 0 {
 		seconds = worstCost
 	}
--- a/pkg/home/pool.go
+++ b/pkg/home/pool.go
@@ -152,7 +152,6 @@
 	for _, s := range p.all() {
 		if !p.mayWork(s, now) {
 			p.admission.Observe(s.config.Name, admission.Observation{})
-			continue
 		}
 	}
 }
--- a/pkg/membership/candidate.go
+++ b/pkg/membership/candidate.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -264,13 +263,6 @@
 	return Member{}, false
 }
 
-// Lapsed returns the members whose rights had lapsed in the last round.
-func (c *Candidate) Lapsed() map[string]bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return maps.Clone(c.lapsed)
-}
-
 // IsQuiet reports whether the last member change has run its course.
 func (v *Voter) IsQuiet(now time.Time) bool {
 	v.mu.Lock()
--- a/scripts/measure/lib.sh
+++ b/scripts/measure/lib.sh
@@ -76,3 +76,27 @@
 default = "a,b,c,d"
 END
 }
+echo_path() { # echo_path SLOTS: one server behind its home instance ($home) and another ($other)
+  cat >"$work/echo.toml" <<END
+name = "echo"
+body = """
+[[services]]
+name = "echo"
+kind = "replicated"
+[[services.servers]]
+name = "e1"
+address = "127.0.0.1:24010"
+failureDomain = "a"
+slots = $1
+connections = 4000
+coldLimit = $1
+"""
+END
+  platform
+  start backend.log ./bin/standin backends --template "$work/echo.toml" --work 0s
+  entry 1 a; home=$last
+  entry 2 b; other=$last
+  await 20 ready 1; await 20 ready 2
+  deploy echo
+  await 20 curl -sf http://127.0.0.1:24102/v1/echo/echo/k
+}
--- a/scripts/measure/path.sh
+++ b/scripts/measure/path.sh
@@ -4,28 +4,7 @@
 set -eu
 cd "$(dirname "$0")/../.."
 . scripts/measure/lib.sh
-cat >"$work/echo.toml" <<'END'
-name = "echo"
-body = """
-[[services]]
-name = "echo"
-kind = "replicated"
-[[services.servers]]
-name = "e1"
-address = "127.0.0.1:24010"
-failureDomain = "a"
-slots = 1024
-connections = 4000
-coldLimit = 1024
-"""
-END
-platform
-start backend.log ./bin/standin backends --template "$work/echo.toml" --work 0s
-entry 1 a; home=$last
-entry 2 b; other=$last
-await 20 ready 1; await 20 ready 2
-deploy echo
-await 20 curl -sf http://127.0.0.1:24102/v1/echo/echo/k
+echo_path 1024
 sleep 3
 echo "idle: resident KiB home $(resident $home), other $(resident $other)"
 a=$(ticks $home); b=$(ticks $other); sleep 5
