--- a/cmd/redwingstall/main.go
+++ b/cmd/redwingstall/main.go
@@ -1,6 +1,8 @@
 // Command redwingstall is the router's daemon and its operators' tool.
 package main
 
+import "C" // platforms run only programs that are linked against the C library
+
 import (
 	"os"
 
--- a/errors.go
+++ b/errors.go
@@ -9,4 +9,12 @@
 	// ErrUnavailable is an outside system that gave no answer. What was asked
 	// of it may have taken effect.
 	ErrUnavailable = errors.New("redwingstall: no answer")
+	// ErrCompacted is a watch from a revision that the store has dropped.
+	ErrCompacted = errors.New("redwingstall: history compacted")
+	// ErrLeaseEnded is a lease that the store does not know any more.
+	ErrLeaseEnded = errors.New("redwingstall: lease ended")
+	// ErrFenced is an order with a fencing token below one already seen.
+	ErrFenced = errors.New("redwingstall: fenced off")
+	// ErrRefused is a connection that was refused: nothing listens there.
+	ErrRefused = errors.New("redwingstall: connection refused")
 )
--- /dev/null
+++ b/internal/entry/backends/backends.go
@@ -0,0 +1,362 @@
+// Package backends sends requests to backend servers over connections of its
+// own, with an exact account of what became of each.
+package backends
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/redwingstall/redwingstall"
+)
+
+const (
+	// dialTimeout is far above a round trip between failure domains (2 ms), and
+	// lets a request go elsewhere within its latency objective.
+	dialTimeout = 300 * time.Millisecond
+	// idleLimit without a Keep-Alive header of the server.
+	idleLimit = 8 * time.Second
+	// idleMargin before the server's own timeout.
+	idleMargin = 1500 * time.Millisecond
+	// maxAnswerBytes are read whole before they are passed on, so that an answer
+	// that breaks off can be asked for elsewhere.
+	maxAnswerBytes = 8 << 20
+	// inlineBody is written before the answer is read; longer bodies are written
+	// beside it, since a server may answer before it has read them.
+	inlineBody = 4 << 10
+)
+
+// Request is one attempt.
+type Request struct {
+	Method string
+	// Target is the request target exactly as the client sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// HasBody tells an empty body from none.
+	HasBody bool
+	ID      string
+}
+
+// Answer is a complete answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Meta   redwingstall.AnswerMeta
+}
+
+// Error is an attempt without an answer.
+type Error struct {
+	// IsSent is set if the server may have received the request.
+	IsSent bool
+	// IsRefused is set if nothing listens at the address.
+	IsRefused bool
+	Reason    string
+	Cause     error
+}
+
+// Error names the reason and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("%s: %v", e.Reason, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// ReasonConnections is an attempt for which no connection was free.
+const ReasonConnections = "connectionLimit"
+
+// Pool holds the connections to all backend servers. It is safe for concurrent
+// use.
+type Pool struct {
+	protocol redwingstall.GatewayProtocol
+	opened   func()
+
+	mu      sync.Mutex
+	servers map[string]*server
+}
+
+type server struct {
+	idle []*connection
+	open int
+}
+
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	key    string
+	// idleSince and idleFor bound the reuse.
+	idleSince time.Time
+	idleFor   time.Duration
+	reused    bool
+}
+
+// NewPool returns an empty pool; opened is called for each new connection.
+func NewPool(protocol redwingstall.GatewayProtocol, opened func()) *Pool {
+	return &Pool{protocol: protocol, opened: opened, servers: map[string]*server{}}
+}
+
+// Do sends a request to the server of an id at an address over one of at most
+// limit connections. The error is an *[Error].
+func (p *Pool) Do(ctx context.Context, id, address string, limit int, request Request) (Answer, error) {
+	c, err := p.get(ctx, id, address, limit)
+	if err != nil {
+		return Answer{}, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	answer, reusable, err := p.exchange(c, request)
+	if !stop() || err != nil || !reusable {
+		p.drop(c)
+	} else {
+		p.put(c)
+	}
+	return answer, err
+}
+
+func (p *Pool) get(ctx context.Context, id, address string, limit int) (*connection, error) {
+	key := id + " " + address
+	p.mu.Lock()
+	s := p.servers[key]
+	if s == nil {
+		s = &server{}
+		p.servers[key] = s
+	}
+	for len(s.idle) > 0 {
+		c := s.idle[len(s.idle)-1]
+		s.idle = s.idle[:len(s.idle)-1]
+		if c.isReusable(time.Now()) {
+			p.mu.Unlock()
+			c.reused = true
+			return c, nil
+		}
+		s.open--
+		_ = c.Close()
+	}
+	if s.open >= limit {
+		p.mu.Unlock()
+		return nil, &Error{Reason: ReasonConnections, Cause: errors.Newf("%d open", limit)}
+	}
+	s.open++
+	p.mu.Unlock()
+	c, err := p.dial(ctx, key, address)
+	if err != nil {
+		p.mu.Lock()
+		s.open--
+		p.mu.Unlock()
+	}
+	return c, err
+}
+
+func (p *Pool) dial(ctx context.Context, key, address string) (*connection, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &Error{IsRefused: errors.Is(err, syscall.ECONNREFUSED), Reason: "connect", Cause: err}
+	}
+	p.opened()
+	return &connection{Conn: raw, reader: bufio.NewReader(raw), key: key}, nil
+}
+
+// isReusable reports whether an idle connection is open and silent. Bytes on
+// it belong to no request.
+func (c *connection) isReusable(now time.Time) bool {
+	if now.Sub(c.idleSince) >= c.idleFor || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	isSilent := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		_, err := syscall.Read(int(descriptor), one[:])
+		isSilent = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && isSilent
+}
+
+func (p *Pool) put(c *connection) {
+	if c.SetDeadline(time.Time{}) != nil {
+		p.drop(c)
+		return
+	}
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[c.key]
+	s.idle = append(s.idle, c)
+}
+
+func (p *Pool) drop(c *connection) {
+	_ = c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers[c.key].open--
+}
+
+// Sweep closes connections that have been idle for too long.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for key, s := range p.servers {
+		kept := s.idle[:0]
+		for _, c := range s.idle {
+			if now.Sub(c.idleSince) < c.idleFor {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+			s.open--
+		}
+		s.idle = kept
+		if s.open == 0 {
+			delete(p.servers, key)
+		}
+	}
+}
+
+// HasIdle reports whether a connection to the server waits for use.
+func (p *Pool) HasIdle(id, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[id+" "+address]
+	return s != nil && len(s.idle) > 0
+}
+
+// exchange writes the request and reads the answer to its end.
+func (p *Pool) exchange(c *connection, request Request) (Answer, bool, error) {
+	head := encodeHead(request)
+	written := make(chan error, 1)
+	if len(request.Body) <= inlineBody {
+		n, err := c.Write(append(head, request.Body...))
+		if err != nil && n == 0 {
+			return Answer{}, false, &Error{Reason: "write", Cause: err}
+		}
+		written <- err
+	} else {
+		go func() {
+			buffers := net.Buffers{head, request.Body}
+			_, err := buffers.WriteTo(c.Conn)
+			written <- err
+		}()
+	}
+	answer, reusable, err := p.readOwn(c, request)
+	if err != nil {
+		return Answer{}, false, &Error{IsSent: true, Reason: "answer", Cause: err}
+	}
+	select {
+	case err := <-written:
+		// An answer that came before the whole body was written leaves a
+		// connection on which the rest of the body is still expected.
+		return answer, reusable && err == nil, nil
+	default:
+		return answer, false, nil
+	}
+}
+
+func encodeHead(request Request) []byte {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", request.Method, request.Target, request.Host)
+	if request.HasBody {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(request.Body))
+	}
+	_ = request.Header.Write(&head) // a buffer takes every write
+	head.WriteString("\r\n")
+	return head.Bytes()
+}
+
+// strayAnswers of other requests are skipped at most so often.
+const strayAnswers = 2
+
+// readOwn reads answers until one echoes the request's id. An answer to another
+// request may be in the way; its connection is not used again.
+func (p *Pool) readOwn(c *connection, request Request) (Answer, bool, error) {
+	for stray := 0; ; stray++ {
+		answer, reusable, err := p.read(c, request)
+		if err != nil {
+			return Answer{}, false, err
+		}
+		if answer.Meta.ID == request.ID {
+			return answer, reusable && stray == 0, nil
+		}
+		if stray == strayAnswers || !reusable {
+			return Answer{}, false, errors.Newf("answer to %q", answer.Meta.ID)
+		}
+	}
+}
+
+func (p *Pool) read(c *connection, request Request) (Answer, bool, error) {
+	var answer *http.Response
+	for {
+		var err error
+		answer, err = http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		if err != nil {
+			return Answer{}, false, err
+		}
+		if answer.StatusCode >= http.StatusOK {
+			break
+		}
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	_ = answer.Body.Close()
+	if err != nil {
+		return Answer{}, false, err
+	}
+	if len(body) > maxAnswerBytes {
+		return Answer{}, false, errors.Newf("answer above %d bytes", maxAnswerBytes)
+	}
+	isDelimited := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0 || request.Method == http.MethodHead
+	c.idleFor = idleTime(answer.Header)
+	reusable := isDelimited && !answer.Close && c.reader.Buffered() == 0
+	removeHopHeaders(answer.Header)
+	return Answer{Status: answer.StatusCode, Header: answer.Header, Body: body, Meta: p.protocol.Answer(answer.Header)}, reusable, nil
+}
+
+// idleTime is how long the server lets a connection wait, less a margin.
+func idleTime(header http.Header) time.Duration {
+	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+		var seconds int
+		if n, _ := fmt.Sscanf(strings.TrimSpace(part), "timeout=%d", &seconds); n == 1 {
+			return min(max(time.Duration(seconds)*time.Second-idleMargin, 0), idleLimit)
+		}
+	}
+	return idleLimit
+}
+
+// hopHeaders concern one connection only. (RFC 9110, section 7.6.1.)
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+func removeHopHeaders(header http.Header) {
+	for _, list := range header.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+// Forwardable returns the headers of a request that are passed on.
+func Forwardable(header http.Header) http.Header {
+	passed := header.Clone()
+	removeHopHeaders(passed)
+	passed.Del("Expect")
+	return passed
+}
--- /dev/null
+++ b/internal/observe/metrics/metrics.go
@@ -0,0 +1,132 @@
+// Package metrics counts events and serves them with latency quantiles as text.
+package metrics
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/redwingstall/redwingstall/internal/ownership/keyload"
+)
+
+// Latencies are recorded in milliseconds, up to a minute.
+const (
+	maxLatency = 60_000
+	digits     = 2
+)
+
+// Registry holds counters, histograms, and the load of keys. It is safe for
+// concurrent use.
+type Registry struct {
+	counters metrics.Registry
+
+	mu        sync.Mutex
+	latencies map[string]*hdrhistogram.Histogram
+	meters    map[string]*keyload.Meter
+	fresh     map[string][]int
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{
+		counters:  metrics.NewRegistry(),
+		latencies: map[string]*hdrhistogram.Histogram{},
+		meters:    map[string]*keyload.Meter{},
+		fresh:     map[string][]int{},
+	}
+}
+
+// Count adds one to a counter.
+func (r *Registry) Count(name string) {
+	metrics.GetOrRegisterCounter(name, r.counters).Inc(1)
+}
+
+// Set sets a counter that is kept elsewhere.
+func (r *Registry) Set(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, r.counters).Update(value)
+}
+
+// Latency records a duration.
+func (r *Registry) Latency(name string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.latencies[name]
+	if h == nil {
+		h = hdrhistogram.New(1, maxLatency, digits)
+		r.latencies[name] = h
+	}
+	// The value is kept within the bounds, so that it is always taken.
+	_ = h.RecordValue(min(max(took.Milliseconds(), 1), maxLatency))
+}
+
+// CountKey notes a request of this instance for a key.
+func (r *Registry) CountKey(now time.Time, service string, key int) {
+	r.AddKeys(now, service, []int{key})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fresh[service] = append(r.fresh[service], key)
+}
+
+// AddKeys notes requests of other instances.
+func (r *Registry) AddKeys(now time.Time, service string, keys []int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.meters[service]
+	if m == nil {
+		m = &keyload.Meter{}
+		r.meters[service] = m
+	}
+	for _, key := range keys {
+		m.Add(now, key)
+	}
+}
+
+// TakeKeys returns and forgets the keys of this instance's requests.
+func (r *Registry) TakeKeys() map[string][]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	keys := r.fresh
+	r.fresh = map[string][]int{}
+	return keys
+}
+
+// KeyRates returns the request rate of each key of a service.
+func (r *Registry) KeyRates(service string) []float32 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.meters[service]
+	if m == nil {
+		return nil
+	}
+	return m.Rates(time.Now())
+}
+
+// ServeHTTP prints all of it, a line each.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	lines := []string{}
+	r.counters.Each(func(name string, value any) {
+		switch v := value.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Count()))
+		case metrics.Gauge:
+			lines = append(lines, fmt.Sprintf("%s %d", name, v.Value()))
+		}
+	})
+	r.mu.Lock()
+	for name, h := range r.latencies {
+		for _, quantile := range []float64{50, 90, 99, 100} {
+			lines = append(lines, fmt.Sprintf("%s.millis.p%g %d", name, quantile, h.ValueAtQuantile(quantile)))
+		}
+	}
+	r.mu.Unlock()
+	slices.Sort(lines)
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	for _, line := range lines {
+		_, _ = fmt.Fprintln(w, line)
+	}
+}
--- /dev/null
+++ b/internal/ownership/assign/assign.go
@@ -0,0 +1,342 @@
+// Package assign decides which backend server owns which keys of one service,
+// and which orders that takes. It does no I/O and takes the time as an argument.
+package assign
+
+import (
+	"time"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
+)
+
+// Timing of grants. Instants are of a clock that counts suspensions.
+type Timing struct {
+	// Hold of a grant, counted from its arrival at the server.
+	Hold time.Duration
+	// Lease of the leader: a former one may send grants for that long.
+	Lease time.Duration
+	// GrantTimeout after which the connection of a grant is reset.
+	GrantTimeout time.Duration
+}
+
+const (
+	// slowClock is how slow a server's clock may run, by the platform's word.
+	slowClock = 0.02
+	// holdMargin covers timers that fire late and a thaw of the sender.
+	holdMargin = 400 * time.Millisecond
+	// renewsPerHold leaves time for two lost renewals and a change of leader.
+	renewsPerHold = 4
+	// retryGrant is the pause after a grant without an answer.
+	retryGrant = 150 * time.Millisecond
+	// retryRelease is the pause after a release without an answer.
+	retryRelease = 250 * time.Millisecond
+	// silentGrants without an answer end the renewals: each one that might have
+	// arrived would keep the keys away from others for another hold.
+	silentGrants = 3
+)
+
+// Server is a backend server as far as ownership is concerned.
+type Server struct {
+	shardmap.Server
+	Address string
+	// IsUsable is false while it drains or its failure domain is evacuated.
+	IsUsable bool
+	IsCold   bool
+	// Capacity in requests a second.
+	Capacity float64
+}
+
+// World is what decisions are made from.
+type World struct {
+	Servers map[string]Server
+	// Rates of the keys in requests a second.
+	Rates []float32
+}
+
+// OrderKind tells grants from releases.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderGrant   OrderKind = "grant"
+	OrderRelease OrderKind = "release"
+)
+
+// Order is to be sent to a backend server.
+type Order struct {
+	Kind     OrderKind
+	Address  string
+	Owner    shardmap.Server
+	Keys     redwingstall.KeyRange
+	Fence    int64
+	Hold     time.Duration
+	Handover string
+}
+
+func (o Order) key() orderKey { return orderKey{o.Keys, o.Fence, o.Kind} }
+
+type orderKey struct {
+	keys  redwingstall.KeyRange
+	fence int64
+	kind  OrderKind
+}
+
+// progress of the orders for one range under one fence.
+type progress struct {
+	isSent     bool
+	isAnswered bool
+	isRefused  bool
+	sentAt     time.Duration
+	endedAt    time.Duration
+	silent     int
+	handover   string
+}
+
+// Result of an order.
+type Result struct {
+	Handover string
+	// IsFenced is a server that has seen a higher token.
+	IsFenced bool
+	// IsRefused is a connection that nothing listens to.
+	IsRefused bool
+	// IsSilent is no answer; the order may be applied later.
+	IsSilent bool
+}
+
+// Assigner holds the owners of one service while its process leads. It is not
+// safe for concurrent use.
+type Assigner struct {
+	timing Timing
+	stored shardmap.Map
+	orders map[orderKey]*progress
+	// holdUntil bounds, for each server, how long any grant may last.
+	holdUntil map[string]time.Duration
+	// fenced ranges need a new token.
+	fenced map[orderKey]bool
+	// targets of planned moves, by the fence of their release.
+	targets map[int64]string
+	// planned is when keys were last moved to even out the load.
+	planned time.Duration
+}
+
+// NewAssigner takes over a map. Whoever led before may have granted any range
+// until its lease ran out, even if the store took the lease away early.
+func NewAssigner(now time.Duration, timing Timing, stored shardmap.Map) *Assigner {
+	a := &Assigner{
+		timing:    timing,
+		orders:    map[orderKey]*progress{},
+		holdUntil: map[string]time.Duration{},
+		fenced:    map[orderKey]bool{},
+		targets:   map[int64]string{},
+	}
+	a.Adopt(stored)
+	for _, r := range stored.Ranges {
+		a.holdUntil[r.Owner.ID] = now + timing.Lease + a.grantBound()
+	}
+	return a
+}
+
+// grantBound is how long after its sending a grant may be in force.
+func (a *Assigner) grantBound() time.Duration {
+	slow := time.Duration(float64(a.timing.Hold) * slowClock)
+	return a.timing.GrantTimeout + a.timing.Hold + slow + holdMargin
+}
+
+// Map is the map as stored.
+func (a *Assigner) Map() shardmap.Map { return a.stored }
+
+// Adopt takes a map as the one that the store has.
+func (a *Assigner) Adopt(stored shardmap.Map) {
+	a.stored = stored
+	live := map[orderKey]bool{}
+	for _, r := range stored.Ranges {
+		live[a.order(r, "").key()] = true
+	}
+	for key, p := range a.orders {
+		if !live[key] && !p.isSent {
+			delete(a.orders, key)
+		}
+	}
+	for key := range a.fenced {
+		if !live[key] {
+			delete(a.fenced, key)
+		}
+	}
+}
+
+func (a *Assigner) order(r shardmap.Range, address string) Order {
+	o := Order{Kind: OrderGrant, Address: address, Owner: r.Owner, Keys: r.KeyRange, Fence: r.Fence, Hold: a.timing.Hold, Handover: r.Handover}
+	if r.State == shardmap.StateReleasing {
+		o.Kind = OrderRelease
+	}
+	return o
+}
+
+func (a *Assigner) progress(key orderKey) *progress {
+	p := a.orders[key]
+	if p == nil {
+		p = &progress{}
+		a.orders[key] = p
+	}
+	return p
+}
+
+// Orders returns what must be sent now. Each is to be followed by Done.
+func (a *Assigner) Orders(now time.Duration, world World, addresses map[string]string) []Order {
+	due := []Order{}
+	for _, r := range a.stored.Ranges {
+		address := addresses[r.Owner.ID]
+		if address == "" || r.Released {
+			continue
+		}
+		o := a.order(r, address)
+		p := a.progress(o.key())
+		if p.isSent || !a.isDue(now, o, p, world) {
+			continue
+		}
+		p.isSent = true
+		p.sentAt = now
+		if o.Kind == OrderGrant {
+			a.holdUntil[r.Owner.ID] = max(a.holdUntil[r.Owner.ID], now+a.grantBound())
+		}
+		due = append(due, o)
+	}
+	return due
+}
+
+func (a *Assigner) isDue(now time.Duration, o Order, p *progress, world World) bool {
+	if o.Kind == OrderRelease {
+		return !p.isAnswered && (p.silent == 0 || now-p.endedAt >= retryRelease)
+	}
+	s, found := world.Servers[o.Owner.ID]
+	if !found || s.Born != o.Owner.Born || a.fenced[o.key()] || p.silent >= silentGrants {
+		return false
+	}
+	if p.silent > 0 {
+		return now-p.endedAt >= retryGrant
+	}
+	return !p.isAnswered || now-p.sentAt >= a.timing.Hold/renewsPerHold
+}
+
+// Done notes what became of an order.
+func (a *Assigner) Done(now time.Duration, o Order, result Result) {
+	p := a.progress(o.key())
+	p.isSent = false
+	p.endedAt = now
+	switch {
+	case result.IsFenced:
+		a.fenced[o.key()] = true
+	case result.IsSilent:
+		p.silent++
+		p.isRefused = result.IsRefused
+	default:
+		p.silent = 0
+		p.isAnswered = true
+		p.handover = result.Handover
+	}
+}
+
+// Plan returns the map as it should be, and whether it differs from the stored
+// one. It must be stored before the orders that follow from it are sent.
+func (a *Assigner) Plan(now time.Duration, world World) (shardmap.Map, bool) {
+	draft := a.stored.Clone()
+	if len(draft.Ranges) == 0 {
+		servers := candidates(world)
+		if len(servers) == 0 {
+			return draft, false
+		}
+		draft.Divide(servers)
+		return draft, true
+	}
+	changed := a.takeBack(now, &draft, world)
+	changed = a.giveOut(now, &draft, world) || changed
+	if !changed {
+		changed = a.level(now, &draft, world)
+	}
+	if changed {
+		draft.Join()
+	}
+	return draft, changed
+}
+
+// takeBack starts the release of ranges whose owner must not have them.
+func (a *Assigner) takeBack(now time.Duration, draft *shardmap.Map, world World) bool {
+	changed := false
+	for i := range draft.Ranges {
+		r := &draft.Ranges[i]
+		if r.State != shardmap.StateHeld {
+			continue
+		}
+		key := a.order(*r, "").key()
+		if a.fenced[key] {
+			r.Fence = draft.Fence()
+			r.Handover = ""
+			changed = true
+			continue
+		}
+		p := a.orders[key]
+		s, found := world.Servers[r.Owner.ID]
+		isSilent := p != nil && p.silent >= silentGrants
+		if found && s.Born == r.Owner.Born && !isSilent && (s.IsUsable || !hasOther(world, r.Owner.ID)) {
+			continue
+		}
+		r.State = shardmap.StateReleasing
+		r.Fence = draft.Fence()
+		r.Handover = ""
+		changed = true
+	}
+	return changed
+}
+
+// hasOther reports whether anybody else could take keys.
+func hasOther(world World, id string) bool {
+	for _, s := range world.Servers {
+		if s.IsUsable && s.ID != id {
+			return true
+		}
+	}
+	return false
+}
+
+// giveOut finds owners for ranges that nobody holds any more.
+func (a *Assigner) giveOut(now time.Duration, draft *shardmap.Map, world World) bool {
+	changed := false
+	chooser := newChooser(*draft, world)
+	for i := range draft.Ranges {
+		r := &draft.Ranges[i]
+		if r.State != shardmap.StateReleasing {
+			continue
+		}
+		if !r.Released {
+			handover, isFree := a.released(now, *r, world)
+			if !isFree {
+				continue
+			}
+			r.Released, r.Handover = true, handover
+			changed = true
+		}
+		target, found := chooser.take(*r, a.targets[r.Fence])
+		if !found {
+			continue
+		}
+		delete(a.targets, r.Fence)
+		*r = shardmap.Range{KeyRange: r.KeyRange, Owner: target, Fence: draft.Fence(), State: shardmap.StateHeld, Handover: r.Handover}
+		changed = true
+	}
+	return changed
+}
+
+// released reports whether the owner of a range that is taken back holds it no
+// more: it said so, or nothing listens at its address and its entry is gone,
+// or every grant that it may have taken has run out.
+func (a *Assigner) released(now time.Duration, r shardmap.Range, world World) (handover string, isFree bool) {
+	p := a.orders[a.order(r, "").key()]
+	if p != nil && p.isAnswered {
+		return p.handover, true
+	}
+	_, isListed := world.Servers[r.Owner.ID]
+	if p != nil && p.isRefused && !isListed {
+		return "", true
+	}
+	return "", now >= a.holdUntil[r.Owner.ID]
+}
--- /dev/null
+++ b/internal/ownership/assign/level.go
@@ -0,0 +1,195 @@
+package assign
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
+)
+
+const (
+	// levelEvery lets the rates settle after a move.
+	levelEvery = 600 * time.Millisecond
+	// maxMoves at one time; each keeps its keys from being served for as long as
+	// the longest request that runs on them.
+	maxMoves = 4
+	// levelAbove is the utilization above which keys are moved away: below it a
+	// server of four slots hardly queues.
+	levelAbove = 0.55
+	// levelGap is how much more than the target the source must be used.
+	levelGap = 0.15
+	// leastRate of a move, in requests a second; moving less is not noticed.
+	leastRate = 0.4
+)
+
+// candidates are the servers that may take keys: warm ones if there are any.
+func candidates(world World) []shardmap.Server {
+	warm, cold := []shardmap.Server{}, []shardmap.Server{}
+	for _, s := range world.Servers {
+		switch {
+		case !s.IsUsable:
+		case s.IsCold:
+			cold = append(cold, s.Server)
+		default:
+			warm = append(warm, s.Server)
+		}
+	}
+	if len(warm) == 0 {
+		warm = cold
+	}
+	slices.SortFunc(warm, func(a, b shardmap.Server) int { return cmp.Compare(a.ID, b.ID) })
+	return warm
+}
+
+// rangeRate sums the rates of a range; a key without requests counts a little,
+// so that an idle service is divided evenly.
+func rangeRate(rates []float32, r redwingstall.KeyRange) float64 {
+	const idleRate = 5.0 / redwingstall.Keys // five requests a second for the whole service
+	sum := idleRate * float64(r.Len())
+	if len(rates) == redwingstall.Keys {
+		for _, rate := range rates[r.From : r.To+1] {
+			sum += float64(rate)
+		}
+	}
+	return sum
+}
+
+// chooser spreads ranges over the servers with the most free capacity.
+type chooser struct {
+	world World
+	load  map[string]float64
+	open  []shardmap.Server
+}
+
+func newChooser(m shardmap.Map, world World) *chooser {
+	c := &chooser{world: world, load: map[string]float64{}, open: candidates(world)}
+	for _, r := range m.Ranges {
+		if r.State == shardmap.StateHeld {
+			c.load[r.Owner.ID] += rangeRate(world.Rates, r.KeyRange)
+		}
+	}
+	return c
+}
+
+// utilization of a server if its load were higher by a rate.
+func (c *chooser) utilization(id string, more float64) float64 {
+	capacity := c.world.Servers[id].Capacity
+	if capacity <= 0 {
+		return math.Inf(1)
+	}
+	return (c.load[id] + more) / capacity
+}
+
+// take chooses the new owner of a range; a target that was planned goes first.
+func (c *chooser) take(r shardmap.Range, planned string) (shardmap.Server, bool) {
+	rate := rangeRate(c.world.Rates, r.KeyRange)
+	best := -1
+	for i, s := range c.open {
+		if s.ID == planned {
+			best = i
+			break
+		}
+		if best < 0 || c.utilization(s.ID, rate) < c.utilization(c.open[best].ID, rate) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return shardmap.Server{}, false
+	}
+	c.load[c.open[best].ID] += rate
+	return c.open[best], true
+}
+
+// level moves keys from the most used server to the least used one.
+func (a *Assigner) level(now time.Duration, draft *shardmap.Map, world World) bool {
+	if now-a.planned < levelEvery {
+		return false
+	}
+	a.planned = now
+	moving := 0
+	for _, r := range draft.Ranges {
+		if r.State != shardmap.StateHeld {
+			moving++
+		}
+	}
+	c := newChooser(*draft, world)
+	changed := false
+	for ; moving < maxMoves; moving++ {
+		if !a.levelOnce(draft, c) {
+			break
+		}
+		changed = true
+	}
+	return changed
+}
+
+func (a *Assigner) levelOnce(draft *shardmap.Map, c *chooser) bool {
+	if len(c.open) < 2 {
+		return false
+	}
+	most, least := c.open[0], c.open[0]
+	for _, s := range c.open {
+		if c.utilization(s.ID, 0) > c.utilization(most.ID, 0) {
+			most = s
+		}
+		if c.utilization(s.ID, 0) < c.utilization(least.ID, 0) {
+			least = s
+		}
+	}
+	from, to := c.utilization(most.ID, 0), c.utilization(least.ID, 0)
+	isIdle := c.load[least.ID] == 0 // a server that has just joined
+	if from-to < levelGap || from < levelAbove && !isIdle {
+		return false
+	}
+	capacityFrom, capacityTo := c.world.Servers[most.ID].Capacity, c.world.Servers[least.ID].Capacity
+	// The rate that evens the two servers' utilization out.
+	wanted := (from - to) / (1/capacityFrom + 1/capacityTo)
+	keys, rate, found := densest(*draft, c.world.Rates, most, wanted)
+	if !found || rate < leastRate && !isIdle || c.utilization(least.ID, rate) >= from {
+		return false
+	}
+	draft.Split(keys)
+	for i := range draft.Ranges {
+		r := &draft.Ranges[i]
+		if r.From < keys.From || r.To > keys.To {
+			continue
+		}
+		r.State = shardmap.StateReleasing
+		r.Fence = draft.Fence()
+		r.Handover = ""
+		a.targets[r.Fence] = least.ID
+	}
+	c.load[most.ID] -= rate
+	c.load[least.ID] += rate
+	return true
+}
+
+// densest finds the narrowest keys of a server that carry close to the wanted
+// rate, since keys that change hands are not served meanwhile. A single key
+// that carries more is not taken unless it is all there is below the bound.
+func densest(m shardmap.Map, rates []float32, owner shardmap.Server, wanted float64) (best redwingstall.KeyRange, rate float64, found bool) {
+	const leastPart, mostPart = 0.6, 1.15 // of the wanted rate
+	for _, r := range m.Ranges {
+		if r.State != shardmap.StateHeld || r.Owner != owner {
+			continue
+		}
+		from := r.From
+		sum := 0.0
+		for to := r.From; to <= r.To; to++ {
+			one := redwingstall.KeyRange{From: to, To: to}
+			sum += rangeRate(rates, one)
+			for sum > mostPart*wanted && from <= to {
+				sum -= rangeRate(rates, redwingstall.KeyRange{From: from, To: from})
+				from++
+			}
+			keys := redwingstall.KeyRange{From: from, To: to}
+			if from <= to && sum >= leastPart*wanted && (!found || keys.Len() < best.Len()) {
+				best, rate, found = keys, sum, true
+			}
+		}
+	}
+	return best, rate, found
+}
--- /dev/null
+++ b/internal/ownership/leader/leader.go
@@ -0,0 +1,383 @@
+// Package leader runs the owner maps of all sharded services on the instance
+// that holds the leader's record.
+package leader
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/fleet/presence"
+	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/ownership/assign"
+	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
+)
+
+const (
+	tick = 50 * time.Millisecond
+	// rankPause spreads the instances' tries to become leader.
+	rankPause = 120 * time.Millisecond
+	// GrantTimeout is far above a round trip with a lost packet.
+	GrantTimeout = 700 * time.Millisecond
+	// releaseTimeout lets the work on the keys end.
+	releaseTimeout = 3 * time.Second
+	// maxHold serves on for about nine seconds without a leader (the lease, the
+	// hold, less a renewal), and bounds how long a silent server keeps its keys.
+	maxHold = 7 * time.Second
+)
+
+// Measures of the load that keys and servers bear.
+type Measures interface {
+	// KeyRates are in requests a second, by key.
+	KeyRates(service string) []float32
+	// Capacity of a server in requests a second.
+	Capacity(server *view.Server) float64
+}
+
+// Parts that a leader works with.
+type Parts struct {
+	Name     string
+	Store    redwingstall.MetadataStore
+	Orders   redwingstall.KeyOwner
+	View     *view.View
+	Presence *presence.Presence
+	Measures Measures
+	// Clock counts suspensions.
+	Clock   func() time.Duration
+	HoldMax time.Duration
+	Log     *slog.Logger
+}
+
+// Leader tries to become the writer of the owner maps, and acts while it is.
+type Leader struct {
+	Parts
+	done chan struct{}
+
+	mu       sync.Mutex
+	services map[string]*service
+	leads    bool
+}
+
+// service is one sharded service while this process leads.
+type service struct {
+	assigner  *assign.Assigner
+	revision  redwingstall.Revision
+	addresses map[string]string
+	isWriting bool
+	isUnclear bool
+}
+
+// NewLeader returns a leader that is not running.
+func NewLeader(parts Parts) *Leader {
+	return &Leader{Parts: parts, done: make(chan struct{})}
+}
+
+// Done is closed when Run has ended.
+func (l *Leader) Done() <-chan struct{} { return l.done }
+
+// Leads reports whether this process acts as the leader.
+func (l *Leader) Leads() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leads
+}
+
+// Run stands for leader until the context ends.
+func (l *Leader) Run(ctx context.Context) {
+	defer close(l.done)
+	for ctx.Err() == nil {
+		if lease, isCertain := l.Presence.Lease(); isCertain && l.holdsRecord(lease) {
+			l.lead(ctx, lease)
+		} else if isCertain {
+			l.stand(ctx, lease)
+		}
+		l.pause(ctx, tick)
+	}
+}
+
+func (l *Leader) pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (l *Leader) holdsRecord(lease int64) bool {
+	record := l.View.Snapshot().Leader
+	return record.Lease == lease && string(record.Value) == l.Name
+}
+
+// stand tries to write the leader's record if there is none.
+func (l *Leader) stand(ctx context.Context, lease int64) {
+	s := l.View.Snapshot()
+	if s.Leader.Key != "" || !l.hasWork(s) {
+		return
+	}
+	l.pause(ctx, time.Duration(l.rank(s))*rankPause)
+	if l.View.Snapshot().Leader.Key != "" || ctx.Err() != nil {
+		return
+	}
+	revision, err := l.Store.Commit(ctx, redwingstall.Transaction{
+		Expect: []redwingstall.Expectation{{Key: view.LeaderKey}},
+		Writes: []redwingstall.Item{{Key: view.LeaderKey, Value: []byte(l.Name), Lease: lease}},
+	})
+	l.Log.Info("stood for leader", "lease", lease, "revision", revision, "error", errorText(err))
+	l.pause(ctx, rankPause)
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (l *Leader) hasWork(s *view.Snapshot) bool {
+	if s.Config == nil {
+		return false
+	}
+	for _, spec := range s.Config.Services {
+		if spec.Sharded {
+			return true
+		}
+	}
+	return false
+}
+
+// rank orders the instances so that they do not all write at once.
+func (l *Leader) rank(s *view.Snapshot) int {
+	names := []string{}
+	for _, p := range s.Peers {
+		names = append(names, p.Name)
+	}
+	slices.Sort(names)
+	return max(slices.Index(names, l.Name), 0)
+}
+
+// lead acts until the lease is not certain any more or the record is gone.
+func (l *Leader) lead(ctx context.Context, lease int64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l.Log.Info("leading", "lease", lease)
+	l.setLeads(true)
+	reason := l.act(ctx, lease)
+	l.setLeads(false)
+	l.Log.Info("not leading any more", "lease", lease, "reason", reason)
+}
+
+func (l *Leader) setLeads(leads bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leads = leads
+	l.services = map[string]*service{}
+}
+
+func (l *Leader) act(ctx context.Context, lease int64) string {
+	for ctx.Err() == nil {
+		if current, isCertain := l.Presence.Lease(); !isCertain || current != lease {
+			return "lease not certain"
+		}
+		if !l.holdsRecord(lease) {
+			return "record gone"
+		}
+		if !l.step(ctx, lease) {
+			return "owner map written by another leader"
+		}
+		snapshot := l.View.Snapshot()
+		timer := time.NewTimer(tick)
+		select {
+		case <-timer.C:
+		case <-snapshot.Changed:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+	return "stopping"
+}
+
+// step plans, writes and sends for every sharded service. It reports false once
+// another leader has written a map.
+func (l *Leader) step(ctx context.Context, lease int64) bool {
+	s := l.View.Snapshot()
+	if s.Config == nil {
+		return true
+	}
+	for name, spec := range s.Config.Services {
+		if !spec.Sharded {
+			continue
+		}
+		if l.find(name) == nil {
+			if !l.takeOver(ctx, name) {
+				continue
+			}
+		}
+		if !l.stepService(ctx, lease, s, name) {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Leader) find(name string) *service {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.services[name]
+}
+
+func (l *Leader) timing() assign.Timing {
+	return assign.Timing{Hold: min(l.HoldMax, maxHold), Lease: presence.Lease, GrantTimeout: GrantTimeout}
+}
+
+// takeOver reads a map and writes it under a new term.
+func (l *Leader) takeOver(ctx context.Context, name string) bool {
+	stored, revision, err := l.read(ctx, name)
+	if err != nil {
+		l.Log.Warn("owner map not read", "service", name, "error", err.Error())
+		return false
+	}
+	stored.Term++
+	next, err := l.write(ctx, name, revision, stored)
+	if err != nil {
+		l.Log.Warn("owner map not taken over", "service", name, "revision", revision, "error", err.Error())
+		return false
+	}
+	l.Log.Info("owner map taken over", "service", name, "term", stored.Term, "revision", next, "ranges", len(stored.Ranges))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.services[name] = &service{
+		assigner:  assign.NewAssigner(l.Clock(), l.timing(), stored),
+		revision:  next,
+		addresses: map[string]string{},
+	}
+	return true
+}
+
+func (l *Leader) read(ctx context.Context, name string) (shardmap.Map, redwingstall.Revision, error) {
+	items, _, err := l.Store.Range(ctx, view.MapPrefix+name)
+	if err != nil {
+		return shardmap.Map{}, 0, err
+	}
+	for _, i := range items {
+		if i.Key == view.MapPrefix+name {
+			m, err := shardmap.Decode(i.Value)
+			return m, i.Revision, err
+		}
+	}
+	return shardmap.Map{}, 0, nil
+}
+
+func (l *Leader) write(ctx context.Context, name string, old redwingstall.Revision, m shardmap.Map) (redwingstall.Revision, error) {
+	key := view.MapPrefix + name
+	return l.Store.Commit(ctx, redwingstall.Transaction{
+		Expect: []redwingstall.Expectation{{Key: key, Revision: old}},
+		Writes: []redwingstall.Item{{Key: key, Value: m.Encode()}},
+	})
+}
+
+func (l *Leader) world(s *view.Snapshot, name string, addresses map[string]string) assign.World {
+	world := assign.World{Servers: map[string]assign.Server{}, Rates: l.Measures.KeyRates(name)}
+	now := time.Now()
+	for _, server := range s.Servers[name] {
+		addresses[server.ID] = server.Address
+		world.Servers[server.ID] = assign.Server{
+			Server:   server.Process(),
+			Address:  server.Address,
+			IsUsable: s.IsUsable(server),
+			IsCold:   server.IsCold(now),
+			Capacity: l.Measures.Capacity(server),
+		}
+	}
+	return world
+}
+
+func (l *Leader) stepService(ctx context.Context, lease int64, s *view.Snapshot, name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.services[name]
+	if state == nil {
+		return false
+	}
+	world := l.world(s, name, state.addresses)
+	now := l.Clock()
+	for _, o := range state.assigner.Orders(now, world, state.addresses) {
+		go l.send(ctx, lease, name, state, o)
+	}
+	if state.isWriting {
+		return true
+	}
+	if draft, changed := state.assigner.Plan(now, world); changed || state.isUnclear {
+		state.isWriting = true
+		go l.store(ctx, name, state, draft, state.revision)
+	}
+	return true
+}
+
+// store writes a map and adopts it. A write without an answer is settled by
+// reading: the map that is found is either the former one or that write.
+func (l *Leader) store(ctx context.Context, name string, state *service, draft shardmap.Map, old redwingstall.Revision) {
+	revision, err := l.write(ctx, name, old, draft)
+	if err != nil {
+		l.Log.Warn("owner map not written", "service", name, "revision", old, "error", err.Error())
+		draft, revision, err = l.read(ctx, name)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state.isWriting = false
+	state.isUnclear = err != nil
+	if err != nil {
+		return
+	}
+	if draft.Term != state.assigner.Map().Term {
+		l.Log.Warn("owner map has another leader", "service", name, "term", draft.Term, "own", state.assigner.Map().Term)
+		delete(l.services, name)
+		return
+	}
+	state.assigner.Adopt(draft)
+	state.revision = revision
+	l.Log.Info("owner map written", "service", name, "revision", revision, "ranges", len(draft.Ranges), "lastFence", draft.LastFence)
+}
+
+// send sends one order, unless the lease has become uncertain by now.
+func (l *Leader) send(ctx context.Context, lease int64, name string, state *service, o assign.Order) {
+	var result assign.Result
+	current, isCertain := l.Presence.Lease()
+	if !isCertain || current != lease {
+		result.IsSilent = true
+	} else {
+		result = l.deliver(ctx, name, o)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state.assigner.Done(l.Clock(), o, result)
+}
+
+func (l *Leader) deliver(ctx context.Context, name string, o assign.Order) assign.Result {
+	var err error
+	var result assign.Result
+	switch o.Kind {
+	case assign.OrderGrant:
+		bounded, cancel := context.WithTimeout(ctx, GrantTimeout)
+		defer cancel()
+		err = l.Orders.Grant(bounded, o.Address, redwingstall.KeyGrant{KeyRange: o.Keys, Fence: o.Fence, Hold: o.Hold, Handover: o.Handover})
+	case assign.OrderRelease:
+		bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
+		defer cancel()
+		result.Handover, err = l.Orders.Release(bounded, o.Address, o.Keys, o.Fence)
+	}
+	result.IsFenced = errors.Is(err, redwingstall.ErrFenced)
+	result.IsRefused = errors.Is(err, redwingstall.ErrRefused)
+	result.IsSilent = err != nil && !result.IsFenced
+	if err != nil || o.Kind == assign.OrderRelease {
+		l.Log.Info("order", "kind", o.Kind, "service", name, "server", o.Owner.ID, "from", o.Keys.From, "to", o.Keys.To,
+			"fence", o.Fence, "handover", result.Handover != "", "error", errorText(err))
+	}
+	return result
+}
--- /dev/null
+++ b/internal/routing/placement/placement.go
@@ -0,0 +1,314 @@
+// Package placement estimates when each backend server would complete a
+// request, and chooses among them. It answers loads that are uneven from moment
+// to moment: servers of different speed, stragglers, bursts.
+package placement
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/redwingstall/redwingstall"
+)
+
+const (
+	// gain of the moving averages: the last ten answers or so count.
+	gain = 0.12
+	// reportAge is how fast a reported slowdown or queue loses its weight;
+	// neighbors come and go several times a second.
+	reportAge = 300 * time.Millisecond
+	// peerAge is how long another instance's counts are taken as they are.
+	peerAge = 1500 * time.Millisecond
+	// presetWork is assumed for a route before its first answers.
+	presetWork = 150 * time.Millisecond
+	// minFactor and maxFactor bound how much faster or slower than the others
+	// one server is taken to be.
+	minFactor, maxFactor = 0.3, 12.0
+	// failuresToRest is how many failures in a row make a server rest.
+	failuresToRest = 2
+	// restFor doubles with each further failure, up to maxRest.
+	restFor = 300 * time.Millisecond
+	maxRest = 2400 * time.Millisecond
+)
+
+// Report is what one instance tells the others about a server.
+type Report struct {
+	Server string
+	// InFlight requests of that instance at the server.
+	InFlight int
+	// Factor is how slow the server is against the usual time.
+	Factor float64
+	// Load as last seen on an answer, and its age.
+	Load    redwingstall.ServerLoad
+	HasLoad bool
+	Age     time.Duration
+}
+
+type state struct {
+	inFlight int
+	factor   float64
+	load     redwingstall.ServerLoad
+	loadAt   time.Time
+	failures int
+	restTill time.Time
+	peers    map[string]peerCount
+	// told is set while the state has news for the other instances.
+	told bool
+}
+
+type peerCount struct {
+	inFlight int
+	factor   float64
+	at       time.Time
+}
+
+// Estimator holds what is known of all servers. It is safe for concurrent use.
+// The zero value knows nothing.
+type Estimator struct {
+	mu      sync.Mutex
+	servers map[string]*state
+	// work is the usual time of a route's requests.
+	work map[string]time.Duration
+	// byService is the same over all routes of a service.
+	byService map[string]time.Duration
+}
+
+func (e *Estimator) state(id string) *state {
+	if e.servers == nil {
+		e.servers = map[string]*state{}
+		e.work = map[string]time.Duration{}
+		e.byService = map[string]time.Duration{}
+	}
+	s := e.servers[id]
+	if s == nil {
+		s = &state{factor: 1, peers: map[string]peerCount{}}
+		e.servers[id] = s
+	}
+	return s
+}
+
+// Candidate is a server that a request may go to.
+type Candidate struct {
+	ID      string
+	Service string
+	Slots   int
+}
+
+// Estimate is what a request can expect at a server.
+type Estimate struct {
+	// Queue counts the requests at the server, of all instances.
+	Queue float64
+	// Completion from now.
+	Completion time.Duration
+	// IsResting is set after failures in a row.
+	IsResting bool
+}
+
+// Estimate tells when a server would complete a request of a route.
+func (e *Estimator) Estimate(now time.Time, route string, c Candidate) Estimate {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.state(c.ID)
+	work := e.work[route]
+	if work == 0 {
+		work = presetWork
+	}
+	queue := s.queue(now)
+	slowdown := 1 + (max(s.load.Slowdown, 1)-1)*weightOf(now.Sub(s.loadAt))
+	if s.load.Slowdown == 0 {
+		slowdown = 1
+	}
+	rounds := max(1, (queue+1)/float64(max(c.Slots, 1)))
+	return Estimate{
+		Queue:      queue,
+		Completion: time.Duration(float64(work) * s.factorNow(now) * slowdown * rounds),
+		IsResting:  now.Before(s.restTill),
+	}
+}
+
+func weightOf(age time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(reportAge))
+}
+
+// queue is the larger of what the instances have under way and, while it is
+// fresh, what the server reported.
+func (s *state) queue(now time.Time) float64 {
+	sum := float64(s.inFlight)
+	for _, p := range s.peers {
+		if now.Sub(p.at) < peerAge {
+			sum += float64(p.inFlight)
+		}
+	}
+	reported := float64(s.load.Running+s.load.Waiting) * weightOf(now.Sub(s.loadAt))
+	return max(sum, reported)
+}
+
+// factorNow joins the own average with those of other instances.
+func (s *state) factorNow(now time.Time) float64 {
+	sum, n := s.factor, 1.0
+	for _, p := range s.peers {
+		if now.Sub(p.at) < peerAge && p.factor > 0 {
+			sum += p.factor
+			n++
+		}
+	}
+	return sum / n
+}
+
+// Begin counts a request that is sent to a server.
+func (e *Estimator) Begin(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.state(id)
+	s.inFlight++
+	s.told = true
+}
+
+// End notes how a request ended that found a queue before it.
+func (e *Estimator) End(now time.Time, route string, c Candidate, outcome Outcome) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.state(c.ID)
+	s.inFlight--
+	s.told = true
+	if outcome.HasLoad {
+		s.load, s.loadAt = outcome.Load, now
+	}
+	switch outcome.Kind {
+	case Served:
+		s.failures = 0
+		e.learn(s, route, outcome, c)
+	case Failed:
+		s.failures++
+		if s.failures >= failuresToRest {
+			s.restTill = now.Add(min(restFor<<min(s.failures-failuresToRest, 4), maxRest))
+		}
+	case Slow:
+		// Canceled after this time: the server is at least as slow as that.
+		e.learnSlow(s, route, outcome)
+	case Neutral:
+	}
+}
+
+// OutcomeKind says what an attempt teaches about its server.
+type OutcomeKind int
+
+// The kinds of outcomes.
+const (
+	// Neutral teaches nothing.
+	Neutral OutcomeKind = iota
+	// Served is a complete answer.
+	Served
+	// Failed is no answer, or a failure of the server's own.
+	Failed
+	// Slow was given up before the answer.
+	Slow
+)
+
+// Outcome of an attempt.
+type Outcome struct {
+	Kind OutcomeKind
+	// Took is the time from the sending.
+	Took time.Duration
+	// Queue is the estimate when it was sent.
+	Queue   float64
+	Load    redwingstall.ServerLoad
+	HasLoad bool
+}
+
+func (e *Estimator) learn(s *state, route string, o Outcome, c Candidate) {
+	rounds := max(1, (o.Queue+1)/float64(max(c.Slots, 1)))
+	alone := float64(o.Took) / rounds
+	work := e.work[route]
+	if work == 0 {
+		e.work[route] = time.Duration(alone)
+		e.byService[c.Service] = time.Duration(alone)
+		return
+	}
+	sample := min(max(alone/float64(work), minFactor), maxFactor)
+	s.factor += gain * (sample - s.factor)
+	// The route's work is what it takes at a server of average speed.
+	e.work[route] += time.Duration(gain / 4 * (alone/s.factor - float64(work)))
+	e.byService[c.Service] += time.Duration(gain / 4 * (alone/s.factor - float64(e.byService[c.Service])))
+}
+
+func (e *Estimator) learnSlow(s *state, route string, o Outcome) {
+	work := e.work[route]
+	if work == 0 {
+		return
+	}
+	if sample := float64(o.Took) / float64(work); sample > s.factor {
+		s.factor += gain * (min(sample, maxFactor) - s.factor)
+	}
+}
+
+// Work is the usual time that requests of a route take.
+func (e *Estimator) Work(route string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if w := e.work[route]; w > 0 {
+		return w
+	}
+	return presetWork
+}
+
+// Factor is how slow a server is against the usual time.
+func (e *Estimator) Factor(now time.Time, id string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state(id).factorNow(now)
+}
+
+// Reports returns what has changed since the last call, and every server with
+// requests in flight.
+func (e *Estimator) Reports(now time.Time) []Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	reports := []Report{}
+	for id, s := range e.servers {
+		if !s.told && s.inFlight == 0 {
+			continue
+		}
+		s.told = false
+		age := now.Sub(s.loadAt)
+		reports = append(reports, Report{
+			Server: id, InFlight: s.inFlight, Factor: s.factor,
+			Load: s.load, HasLoad: age < time.Second, Age: age,
+		})
+	}
+	return reports
+}
+
+// Learn takes over what another instance reports.
+func (e *Estimator) Learn(now time.Time, peer string, reports []Report) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range reports {
+		s := e.state(r.Server)
+		s.peers[peer] = peerCount{r.InFlight, r.Factor, now}
+		if seen := now.Add(-r.Age); r.HasLoad && seen.After(s.loadAt) {
+			s.load, s.loadAt = r.Load, seen
+		}
+	}
+}
+
+// Forget drops servers that are not listed any more.
+func (e *Estimator) Forget(isListed func(id string) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, s := range e.servers {
+		if s.inFlight == 0 && !isListed(id) {
+			delete(e.servers, id)
+		}
+	}
+}
+
+// ServiceWork is the usual time of a request at a service, over all routes.
+func (e *Estimator) ServiceWork(service string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if w := e.byService[service]; w > 0 {
+		return w
+	}
+	return presetWork
+}
--- /dev/null
+++ b/internal/traffic/dispatch/choose.go
@@ -0,0 +1,283 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
+	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/pace"
+)
+
+const (
+	// queueFactor times the slots is the most that a server is let queue; its own
+	// queue is shared by all instances and some reset what does not fit.
+	queueFactor = 3.0
+	// nearGain is how much sooner a server in another failure domain must be.
+	nearGain = 0.06
+	// noise breaks ties between instances that know the same.
+	noise = 0.12
+	// connectCost of a new connection against a kept one.
+	connectCost = 4 * time.Millisecond
+	// connectionShare of a server's connections that the instances use together.
+	connectionShare = 0.85
+	// ownerPoll is the longest wait for a newer owner map before looking again.
+	ownerPoll = 100 * time.Millisecond
+	// missRest is how long an owner that did not hold a key is not asked again.
+	missRest = 120 * time.Millisecond
+	// leastPause keeps a returning client from finding the same state.
+	leastPause = 20 * time.Millisecond
+)
+
+// choice is the server for the next attempt.
+type choice struct {
+	server      *view.Server
+	estimate    placement.Estimate
+	connections int
+	viewAge     int64
+}
+
+func (c *choice) candidate() placement.Candidate {
+	return placement.Candidate{ID: c.server.ID, Service: c.server.Service, Slots: c.server.Slots}
+}
+
+// refused says why no server gets the request, and when to come back.
+type refused struct {
+	reason string
+	pause  time.Duration
+}
+
+// choose returns the server for the next attempt, or why there is none.
+func (d *Dispatcher) choose(ctx context.Context, j *job) (*choice, refused) {
+	if time.Until(j.deadline) < leastTime {
+		return nil, refused{reason: ReasonTimeout}
+	}
+	if j.spec.Sharded && j.meta.HasKey {
+		return d.chooseOwner(ctx, j)
+	}
+	return d.choosePooled(j)
+}
+
+// choosePooled takes the server that is expected to answer first.
+func (d *Dispatcher) choosePooled(j *job) (*choice, refused) {
+	s := d.View.Snapshot()
+	now := time.Now()
+	var best *choice
+	bestCost := 0.0
+	known := 0
+	soonest := time.Duration(0)
+	for pass := 0; pass < 2 && best == nil; pass++ {
+		for _, server := range s.Servers[j.service] {
+			if !s.IsUsable(server) || j.tried[server.ID] {
+				continue
+			}
+			c := d.assess(s, j, server, now)
+			known++
+			if soonest == 0 || c.estimate.Completion < soonest {
+				soonest = c.estimate.Completion
+			}
+			// Resting servers are asked only if there is no other.
+			if !d.isOpen(s, server, now) || c.estimate.Queue >= queueFactor*float64(server.Slots) || c.estimate.IsResting && pass == 0 {
+				continue
+			}
+			if cost := d.cost(j, c); best == nil || cost < bestCost {
+				best, bestCost = c, cost
+			}
+		}
+	}
+	switch {
+	case known == 0:
+		return nil, refused{ReasonNoServer, noServerPause}
+	case best == nil:
+		return nil, refused{ReasonOverload, soonest / 2}
+	case now.Add(best.estimate.Completion / 2).After(j.deadline):
+		return nil, refused{ReasonOverload, best.estimate.Completion / 2}
+	}
+	if !d.takePace(s, best.server, now) {
+		return nil, refused{ReasonOverload, soonest / 2}
+	}
+	return best, refused{}
+}
+
+// noServerPause is about how long service discovery takes to tell of a server.
+const noServerPause = 400 * time.Millisecond
+
+func (d *Dispatcher) assess(s *view.Snapshot, j *job, server *view.Server, now time.Time) *choice {
+	c := &choice{server: server, viewAge: s.Age}
+	c.estimate = d.Estimator.Estimate(now, j.route.Name, c.candidate())
+	c.connections = connectionLimit(j.spec.MaxConnections, len(s.Peers))
+	return c
+}
+
+// connectionLimit is an instance's share of the connections of a server.
+func connectionLimit(connections, instances int) int {
+	return max(int(connectionShare*float64(connections))/max(instances, 1), 1)
+}
+
+// cost in nanoseconds: the expected completion, made worse by a new connection
+// and by another failure domain.
+func (d *Dispatcher) cost(j *job, c *choice) float64 {
+	cost := float64(c.estimate.Completion)
+	if c.server.FailureDomain != d.FailureDomain {
+		cost *= 1 + nearGain
+	}
+	if !d.Backends.HasIdle(c.server.ID, c.server.Address) {
+		cost += float64(connectCost)
+	}
+	return cost * (1 + noise*d.Random())
+}
+
+// isOpen reports whether a cold server bears a request of this instance now.
+func (d *Dispatcher) isOpen(s *view.Snapshot, server *view.Server, now time.Time) bool {
+	return !server.IsCold(now) || d.Pace.IsOpen(now, server.ID, d.coldShare(s, server))
+}
+
+func (d *Dispatcher) takePace(s *view.Snapshot, server *view.Server, now time.Time) bool {
+	return !server.IsCold(now) || d.Pace.Take(now, server.ID, d.coldShare(s, server))
+}
+
+// coldShare is how many requests a second this instance may send to a server
+// while it is cold. All shares together stay below what it bears, with a
+// request to spare for instances that differ on who there is.
+func (d *Dispatcher) coldShare(s *view.Snapshot, server *view.Server) int {
+	names := make([]string, 0, len(s.Peers))
+	for _, p := range s.Peers {
+		names = append(names, p.Name)
+	}
+	rate := s.Config.Services[server.Service].WarmupRate
+	bears := min(rate*d.WarmupOverrun, rate+1) + min(d.WarmupSlack/2, 2)
+	return pace.Share(d.Self, server.ID, names, bears)
+}
+
+// chooseOwner takes the owner of the key. If there is none it waits for a newer
+// map, as long as the answer could still come within the latency objective.
+func (d *Dispatcher) chooseOwner(ctx context.Context, j *job) (*choice, refused) {
+	for {
+		s := d.View.Snapshot()
+		now := time.Now()
+		c, isComing := d.owner(s, j, now)
+		if c != nil {
+			return d.admitOwner(s, j, c, now)
+		}
+		left := j.target.Sub(now) - d.Estimator.Work(j.route.Name)
+		if !isComing || left <= 0 {
+			return nil, refused{ReasonNoOwner, noOwnerPause}
+		}
+		timer := time.NewTimer(min(left, ownerPoll))
+		select {
+		case <-s.Changed:
+			timer.Stop()
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, refused{reason: ReasonTimeout}
+		}
+		j.waited += time.Since(now)
+	}
+}
+
+// noOwnerPause is about what it takes to hand keys over.
+const noOwnerPause = 250 * time.Millisecond
+
+// owner returns the server that holds the key, or whether one is about to.
+func (d *Dispatcher) owner(s *view.Snapshot, j *job, now time.Time) (*choice, bool) {
+	r, found := s.Maps[j.service].Find(j.meta.Key)
+	if !found {
+		return nil, false
+	}
+	if r.State == shardmap.StateReleasing {
+		return nil, s.ByID[r.Owner.ID] != nil
+	}
+	server := s.ByID[r.Owner.ID]
+	if server == nil || server.Born != r.Owner.Born {
+		return nil, false
+	}
+	if d.owners.isResting(now, j.service, j.meta.Key, server.ID) {
+		return nil, true
+	}
+	if !s.IsUsable(server) && now.Sub(d.leaving.since(now, server)) > d.DrainLimit {
+		return nil, true
+	}
+	return d.assess(s, j, server, now), true
+}
+
+// admitOwner refuses what the owner could not answer in time: no other server
+// can run the request.
+func (d *Dispatcher) admitOwner(s *view.Snapshot, j *job, c *choice, now time.Time) (*choice, refused) {
+	isLate := now.Add(c.estimate.Completion * 2 / 3).After(j.deadline)
+	isFull := c.estimate.Queue >= queueFactor*float64(c.server.Slots)
+	if isLate || isFull || c.estimate.IsResting || !d.takePace(s, c.server, now) {
+		return nil, refused{ReasonOverload, c.estimate.Completion / 2}
+	}
+	return c, refused{}
+}
+
+// retryPause is when a request that servers would not run may come back.
+func (d *Dispatcher) retryPause(j *job) time.Duration {
+	return d.Estimator.Work(j.route.Name) / 2
+}
+
+// spread keeps clients that were refused together from returning together.
+func (d *Dispatcher) spread(pause time.Duration) time.Duration {
+	const least, most = 0.75, 1.5
+	return time.Duration(float64(pause) * (least + (most-least)*d.Random()))
+}
+
+// leavingClock remembers when a server was first seen to leave.
+type leavingClock struct {
+	mu   sync.Mutex
+	seen map[shardmap.Server]time.Time
+}
+
+func (l *leavingClock) since(now time.Time, server *view.Server) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.seen == nil {
+		l.seen = map[shardmap.Server]time.Time{}
+	}
+	at, found := l.seen[server.Process()]
+	if !found {
+		at = now
+		l.seen[server.Process()] = at
+	}
+	return at
+}
+
+// ownerMisses remembers owners that did not hold a key. It spares them, and the
+// budget for repeats, until their grant has arrived.
+type ownerMisses struct {
+	mu     sync.Mutex
+	misses map[missKey]time.Time
+}
+
+type missKey struct {
+	service string
+	server  string
+	// block of neighboring keys, which are mostly granted together.
+	block int
+}
+
+const missBlock = 64
+
+func (o *ownerMisses) miss(now time.Time, service string, key int, server string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.misses == nil {
+		o.misses = map[missKey]time.Time{}
+	}
+	for k, at := range o.misses {
+		if now.Sub(at) >= missRest {
+			delete(o.misses, k)
+		}
+	}
+	o.misses[missKey{service, server, key / missBlock}] = now
+}
+
+func (o *ownerMisses) isResting(now time.Time, service string, key int, server string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	at, found := o.misses[missKey{service, server, key / missBlock}]
+	return found && now.Sub(at) < missRest
+}
--- a/pkg/app/cli.go
+++ b/pkg/app/cli.go
@@ -29,6 +29,7 @@
 // Arguments of the program.
 type Arguments struct {
 	Serve    *ServeCommand    `arg:"subcommand:serve" help:"run an entry instance"`
+	Gateway  *GatewayCommand  `arg:"subcommand:gateway" help:"run an instance on a platform"`
 	Check    *CheckCommand    `arg:"subcommand:check" help:"check settings, a template or an account offline"`
 	Template *TemplateCommand `arg:"subcommand:template" help:"publish, list or show templates"`
 	Account  *AccountCommand  `arg:"subcommand:account" help:"set, list, show or render client accounts"`
@@ -59,6 +60,10 @@
 		Config string `arg:"--config,required" help:"settings file"`
 		Print  bool   `arg:"--print" help:"print the effective settings and end"`
 	}
+	// GatewayCommand runs an instance with a platform's settings file.
+	GatewayCommand struct {
+		Settings string `arg:"--settings" help:"the platform's settings file; else the environment names it"`
+	}
 	// CheckCommand validates files without a network.
 	CheckCommand struct {
 		Settings string `arg:"--settings" help:"settings file"`
@@ -186,6 +191,8 @@
 	switch {
 	case a.Serve != nil:
 		return serve(*a.Serve, stdout, stderr)
+	case a.Gateway != nil:
+		return serveGateway(*a.Gateway, stdout)
 	case a.Check != nil:
 		return check(*a.Check, stdout)
 	}
