Keys leveled within a second, store watched by two instances

Cause: the first owner map divided all keys among the few servers that had registered first, rates rose over a 2.5 s half-life, and each instance watched the store.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -1,17 +1,20 @@
-// Package peers exchanges load between instances in datagrams.
+// Package peers exchanges load and news of the store between instances, in
+// datagrams.
 package peers
 
 import (
 	"context"
-	"encoding/json"
+	"hash/fnv"
 	"log/slog"
 	"net"
 	"net/netip"
+
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 
-	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 )
@@ -19,32 +22,43 @@
 const (
 	// fastest exchange; a request runs for 50 to 300 ms.
 	fastest = 100 * time.Millisecond
-	// perPeer stretches the exchange so that an instance sends and gets at most
-	// a hundred datagrams a second.
-	perPeer = 10 * time.Millisecond
+	// nearPeer stretches the exchange inside a failure domain, and farPeer that
+	// with the others, whose bytes are priced: at 77 instances the far exchange
+	// comes every 1.5 s and costs an instance 8 KB/s.
+	nearPeer = 6 * time.Millisecond
+	farPeer  = 25 * time.Millisecond
+	// farFrom is the number of far peers up to which all are treated as near.
+	farFrom = 12
 	// maxServers a datagram keeps it below the usual MTU.
-	maxServers = 24
-	maxKeys    = 60
+	maxServers = 48
+	maxKeys    = 100
 	maxBytes   = 64 << 10
+	// maxNewsBytes of a datagram; larger news are read from the store.
+	maxNewsBytes = 32 << 10
 )
 
 // datagram is what one instance tells the others.
 type datagram struct {
-	From    string           `json:"from"`
-	Servers []serverLoad     `json:"servers,omitempty"`
-	Keys    map[string][]int `json:"keys,omitempty"`
+	_    struct{} `cbor:",toarray"`
+	From string
+	// Loads of servers, Keys by service, and News are there or not.
+	Loads []serverLoad
+	Keys  map[string][]int
+	News  *follow.News
 }
 
-// serverLoad is a [placement.Report] in short.
+// serverLoad is a [placement.Report] in few bytes.
 type serverLoad struct {
-	ID       string  `json:"id"`
-	InFlight int     `json:"n"`
-	Factor   float64 `json:"f"`
-	Running  int     `json:"r,omitempty"`
-	Waiting  int     `json:"w,omitempty"`
-	Slots    int     `json:"s,omitempty"`
-	Slowdown float64 `json:"d,omitempty"`
-	AgeMS    int64   `json:"a,omitempty"`
+	_        struct{} `cbor:",toarray"`
+	ID       uint32
+	InFlight int
+	// FactorPercent and SlowdownPercent are rounded.
+	FactorPercent   int
+	SlowdownPercent int
+	Running         int
+	Waiting         int
+	Slots           int
+	AgeMS           int
 }
 
 // KeySink takes the keys that other instances got requests for.
@@ -56,17 +70,20 @@
 
 // Exchange sends this instance's load to the others and takes theirs in.
 type Exchange struct {
-	self      string
+	self      view.Peer
 	socket    *net.UDPConn
 	view      *view.View
 	estimator *placement.Estimator
 	keys      KeySink
 	log       *slog.Logger
+	news      chan follow.News
 	done      chan struct{}
 }
 
+var _ follow.Relay = (*Exchange)(nil)
+
 // NewExchange opens the socket.
-func NewExchange(self, ip string, port int, v *view.View, e *placement.Estimator, keys KeySink, log *slog.Logger) (*Exchange, error) {
+func NewExchange(name, failureDomain, ip string, port int, v *view.View, e *placement.Estimator, keys KeySink, log *slog.Logger) (*Exchange, error) {
 	address, err := netip.ParseAddr(ip)
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
@@ -75,15 +92,43 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
-	return &Exchange{self: self, socket: socket, view: v, estimator: e, keys: keys, log: log, done: make(chan struct{})}, nil
+	return &Exchange{
+		self:      view.Peer{Name: name, Address: socket.LocalAddr().String(), FailureDomain: failureDomain},
+		socket:    socket,
+		view:      v,
+		estimator: e,
+		keys:      keys,
+		log:       log,
+		news:      make(chan follow.News, 64),
+		done:      make(chan struct{}),
+	}, nil
 }
 
-// Address that other instances send to.
-func (e *Exchange) Address() string { return e.socket.LocalAddr().String() }
+// Self is how other instances reach this one.
+func (e *Exchange) Self() view.Peer { return e.self }
 
 // Done is closed when Run has ended.
 func (e *Exchange) Done() <-chan struct{} { return e.done }
 
+// News arrive from instances that watch the store.
+func (e *Exchange) News() <-chan follow.News { return e.news }
+
+// Tell sends news of the store to all other instances.
+func (e *Exchange) Tell(news follow.News) {
+	message := datagram{From: e.self.Name, News: &news}
+	text, err := cbor.Marshal(message)
+	if err == nil && len(text) > maxNewsBytes {
+		news.Changes, news.IsShort = nil, true
+		text, err = cbor.Marshal(message)
+	}
+	if err != nil {
+		e.log.Error("datagram not encoded", "error", err.Error())
+		return
+	}
+	near, far := e.others()
+	e.write(text, append(near, far...))
+}
+
 // Run exchanges until the context ends.
 func (e *Exchange) Run(ctx context.Context) {
 	defer close(e.done)
@@ -92,10 +137,18 @@
 		defer close(received)
 		e.receive(ctx)
 	}()
+	sentFar := time.Time{}
 	for ctx.Err() == nil {
-		peers := e.others()
-		e.send(peers)
-		timer := time.NewTimer(max(fastest, time.Duration(len(peers))*perPeer))
+		near, far := e.others()
+		now := time.Now()
+		targets := near
+		isFar := now.Sub(sentFar) >= time.Duration(len(far))*farPeer
+		if isFar {
+			targets = append(targets, far...)
+			sentFar = now
+		}
+		e.exchange(now, targets, isFar)
+		timer := time.NewTimer(max(fastest, time.Duration(len(near))*nearPeer))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
@@ -106,48 +159,59 @@
 	<-received
 }
 
-func (e *Exchange) others() []netip.AddrPort {
-	addresses := []netip.AddrPort{}
+// others returns the peers that are told often, and those told more seldom.
+func (e *Exchange) others() (near, far []netip.AddrPort) {
 	for _, p := range e.view.Snapshot().Peers {
-		if p.Name == e.self {
+		if p.Name == e.self.Name {
 			continue
 		}
 		address, err := netip.ParseAddrPort(p.Address)
-		if err != nil {
+		switch {
+		case err != nil:
 			e.log.Warn("peer address unreadable", "peer", p.Name, "address", p.Address)
-			continue
+		case p.FailureDomain == e.self.FailureDomain:
+			near = append(near, address)
+		default:
+			far = append(far, address)
 		}
-		addresses = append(addresses, address)
 	}
-	return addresses
+	if len(far) <= farFrom {
+		return append(near, far...), nil
+	}
+	return near, far
 }
 
-func (e *Exchange) send(peers []netip.AddrPort) {
+func (e *Exchange) exchange(now time.Time, peers []netip.AddrPort, isFar bool) {
 	keys := e.keys.TakeKeys()
-	reports := e.estimator.Reports(time.Now())
-	if len(peers) == 0 {
-		return
+	reports := e.estimator.Reports(now)
+	if isFar {
+		// Far peers learn the speed of servers, not what is in flight for a moment.
+		reports = e.estimator.AllReports(now)
 	}
 	for first := true; first || len(reports) > 0; first = false {
 		n := min(len(reports), maxServers)
-		message := datagram{From: e.self, Servers: shorten(reports[:n])}
+		message := datagram{From: e.self.Name, Loads: shorten(reports[:n])}
 		if first {
 			message.Keys = trim(keys)
 		}
 		reports = reports[n:]
-		if len(message.Servers) == 0 && len(message.Keys) == 0 {
+		if len(peers) == 0 || len(message.Loads) == 0 && len(message.Keys) == 0 {
 			return
 		}
-		text, err := json.Marshal(message)
+		text, err := cbor.Marshal(message)
 		if err != nil {
 			e.log.Error("datagram not encoded", "error", err.Error())
 			return
 		}
-		for _, p := range peers {
-			// A datagram that is not sent is like one that is lost: the next
-			// exchange carries newer counts.
-			_, _ = e.socket.WriteToUDPAddrPort(text, p)
-		}
+		e.write(text, peers)
+	}
+}
+
+// write sends a datagram. One that is not sent is like one that is lost: the
+// next exchange carries newer counts.
+func (e *Exchange) write(text []byte, peers []netip.AddrPort) {
+	for _, p := range peers {
+		_, _ = e.socket.WriteToUDPAddrPort(text, p)
 	}
 }
 
@@ -160,13 +224,22 @@
 	return keys
 }
 
+// shortID stands for a server's id in datagrams.
+func shortID(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
+
+const percent = 100
+
 func shorten(reports []placement.Report) []serverLoad {
 	short := make([]serverLoad, 0, len(reports))
 	for _, r := range reports {
-		s := serverLoad{ID: r.Server, InFlight: r.InFlight, Factor: r.Factor}
+		s := serverLoad{ID: shortID(r.Server), InFlight: r.InFlight, FactorPercent: int(r.Factor * percent)}
 		if r.HasLoad {
 			s.Running, s.Waiting, s.Slots = r.Load.Running, r.Load.Waiting, r.Load.Slots
-			s.Slowdown, s.AgeMS = r.Load.Slowdown, r.Age.Milliseconds()
+			s.SlowdownPercent, s.AgeMS = int(r.Load.Slowdown*percent), int(r.Age.Milliseconds())
 		}
 		short = append(short, s)
 	}
@@ -185,7 +258,7 @@
 			continue
 		}
 		var message datagram
-		if err := json.Unmarshal(buffer[:n], &message); err != nil {
+		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
 			e.log.Warn("datagram unreadable", "bytes", n, "error", err.Error())
 			continue
 		}
@@ -194,16 +267,37 @@
 }
 
 func (e *Exchange) take(now time.Time, message datagram) {
-	reports := make([]placement.Report, 0, len(message.Servers))
-	for _, s := range message.Servers {
-		reports = append(reports, placement.Report{
-			Server: s.ID, InFlight: s.InFlight, Factor: s.Factor,
-			Load:    redwingstall.ServerLoad{Running: s.Running, Waiting: s.Waiting, Slots: s.Slots, Slowdown: s.Slowdown},
-			HasLoad: s.Slots > 0, Age: time.Duration(s.AgeMS) * time.Millisecond,
-		})
-	}
-	e.estimator.Learn(now, message.From, reports)
+	if message.News != nil {
+		select {
+		case e.news <- *message.News:
+		default: // the next news show that some are missing
+		}
+	}
 	for service, keys := range message.Keys {
 		e.keys.AddKeys(now, service, keys)
 	}
+	if len(message.Loads) == 0 {
+		return
+	}
+	names := map[uint32]string{}
+	for id := range e.view.Snapshot().ByID {
+		names[shortID(id)] = id
+	}
+	e.estimator.Learn(now, message.From, lengthen(message.Loads, names))
+}
+
+func lengthen(loads []serverLoad, names map[uint32]string) []placement.Report {
+	reports := make([]placement.Report, 0, len(loads))
+	for _, s := range loads {
+		id, found := names[s.ID]
+		if !found {
+			continue // a server that this instance has not heard of yet
+		}
+		r := placement.Report{Server: id, InFlight: s.InFlight, Factor: float64(s.FactorPercent) / percent, HasLoad: s.Slots > 0}
+		r.Load.Running, r.Load.Waiting, r.Load.Slots = s.Running, s.Waiting, s.Slots
+		r.Load.Slowdown = float64(s.SlowdownPercent) / percent
+		r.Age = time.Duration(s.AgeMS) * time.Millisecond
+		reports = append(reports, r)
+	}
+	return reports
 }
--- a/internal/fleet/presence/presence.go
+++ b/internal/fleet/presence/presence.go
@@ -1,10 +1,9 @@
-// Package presence keeps an instance's lease in the metadata store, with its
-// record, and tells how long the lease is certain to last.
+// Package presence keeps a record in the metadata store alive under a lease,
+// and tells how long the lease is certain to last.
 package presence
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"sync"
 	"time"
@@ -12,55 +11,62 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
-	"github.com/redwingstall/redwingstall/internal/fleet/view"
 )
 
 const (
-	// Lease outlives three lost renewals; a leader that died is replaced after it.
-	Lease = 3 * time.Second
-	// keepEvery gives four renewals a lease.
-	keepEvery = Lease / 4
-	// leaseMargin is taken off for clocks whose rates differ and late timers.
-	leaseMargin = Lease/50 + 150*time.Millisecond
-	retryPause  = 200 * time.Millisecond
+	// renewals in a lease.
+	renewals = 4
+	// marginPart of a lease is taken off for clocks whose rates differ, and
+	// margin for timers that fire late.
+	marginPart = 50
+	margin     = 150 * time.Millisecond
+	retryPause = 200 * time.Millisecond
 )
 
-// Presence is one instance's lease. It is safe for concurrent use.
-type Presence struct {
-	store redwingstall.MetadataStore
-	self  view.Peer
-	clock func() time.Duration
-	log   *slog.Logger
-	done  chan struct{}
+// Lease keeps one record. It is safe for concurrent use.
+type Lease struct {
+	store  redwingstall.MetadataStore
+	record redwingstall.Item
+	// isExclusive records are written only if nobody has written one.
+	isExclusive bool
+	ttl         time.Duration
+	clock       func() time.Duration
+	log         *slog.Logger
+	done        chan struct{}
 
 	mu    sync.Mutex
 	lease int64
 	until time.Duration
 }
 
-// NewPresence returns a presence without a lease. The clock must count
+// NewLease returns a lease that is not opened yet. The clock must count
 // suspensions.
-func NewPresence(store redwingstall.MetadataStore, self view.Peer, clock func() time.Duration, log *slog.Logger) *Presence {
-	return &Presence{store: store, self: self, clock: clock, log: log, done: make(chan struct{})}
+func NewLease(store redwingstall.MetadataStore, record redwingstall.Item, isExclusive bool, ttl time.Duration, clock func() time.Duration, log *slog.Logger) *Lease {
+	return &Lease{store: store, record: record, isExclusive: isExclusive, ttl: ttl, clock: clock, log: log, done: make(chan struct{})}
 }
 
 // Done is closed when Run has ended.
-func (p *Presence) Done() <-chan struct{} { return p.done }
+func (l *Lease) Done() <-chan struct{} { return l.done }
 
 // Lease returns the lease while it is certain to last, or false.
-func (p *Presence) Lease() (int64, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lease, p.lease != 0 && p.clock() < p.until
+func (l *Lease) Lease() (int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lease, l.lease != 0 && l.clock() < l.until
 }
 
 // Run opens the lease and renews it until the context ends, then gives it up.
-func (p *Presence) Run(ctx context.Context) {
-	defer close(p.done)
+// An exclusive record that somebody else has written ends it too.
+func (l *Lease) Run(ctx context.Context) {
+	defer close(l.done)
 	for ctx.Err() == nil {
-		wait := keepEvery
-		if err := p.renew(ctx); err != nil {
+		wait := l.ttl / renewals
+		if err := l.renew(ctx); err != nil {
+			l.log.Warn("lease not renewed", "key", l.record.Key, "error", err.Error())
 			wait = retryPause
+			if errors.Is(err, redwingstall.ErrConflict) {
+				break
+			}
 		}
 		timer := time.NewTimer(wait)
 		select {
@@ -69,66 +75,68 @@
 			timer.Stop()
 		}
 	}
-	p.end()
+	l.end()
 }
 
-func (p *Presence) renew(ctx context.Context) error {
-	p.mu.Lock()
-	lease := p.lease
-	p.mu.Unlock()
+func (l *Lease) renew(ctx context.Context) error {
+	l.mu.Lock()
+	lease := l.lease
+	l.mu.Unlock()
 	if lease == 0 {
-		return p.open(ctx)
+		return l.open(ctx)
 	}
-	sent := p.clock()
-	err := p.store.KeepLease(ctx, lease)
+	sent := l.clock()
+	err := l.store.KeepLease(ctx, lease)
 	switch {
 	case err == nil:
-		p.set(lease, sent)
+		l.set(lease, sent)
 	case errors.Is(err, redwingstall.ErrLeaseEnded):
-		p.log.Warn("lease ended", "lease", lease)
-		p.set(0, 0)
-		return p.open(ctx)
+		l.set(0, 0)
+		if !l.isExclusive {
+			return l.open(ctx)
+		}
 	}
 	return err
 }
 
-func (p *Presence) open(ctx context.Context) error {
-	sent := p.clock()
-	lease, err := p.store.OpenLease(ctx, Lease)
+func (l *Lease) open(ctx context.Context) error {
+	sent := l.clock()
+	lease, err := l.store.OpenLease(ctx, l.ttl)
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(p.self)
-	if err != nil {
-		return errors.Wrap(err, "presence")
+	record := l.record
+	record.Lease = lease
+	change := redwingstall.Transaction{Writes: []redwingstall.Item{record}}
+	if l.isExclusive {
+		change.Expect = []redwingstall.Expectation{{Key: record.Key}}
 	}
-	record := redwingstall.Item{Key: view.PeerPrefix + p.self.Name, Value: value, Lease: lease}
-	if _, err := p.store.Commit(ctx, redwingstall.Transaction{Writes: []redwingstall.Item{record}}); err != nil {
+	if _, err := l.store.Commit(ctx, change); err != nil {
 		return err
 	}
-	p.log.Info("lease opened", "lease", lease, "ttl", Lease.String())
-	p.set(lease, sent)
+	l.log.Info("lease opened", "key", record.Key, "lease", lease, "ttl", l.ttl.String())
+	l.set(lease, sent)
 	return nil
 }
 
 // set notes a lease that was confirmed by a call sent at an instant.
-func (p *Presence) set(lease int64, sent time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.lease = lease
-	p.until = sent + Lease - leaseMargin
+func (l *Lease) set(lease int64, sent time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lease = lease
+	l.until = sent + l.ttl - l.ttl/marginPart - margin
 }
 
 // end gives the lease up, so that others need not wait for its expiry.
-func (p *Presence) end() {
-	p.mu.Lock()
-	lease := p.lease
-	p.lease = 0
-	p.mu.Unlock()
+func (l *Lease) end() {
+	l.mu.Lock()
+	lease := l.lease
+	l.lease = 0
+	l.mu.Unlock()
 	if lease == 0 {
 		return
 	}
-	if err := p.store.EndLease(context.Background(), lease); err != nil {
-		p.log.Warn("lease not ended", "lease", lease, "error", err.Error())
+	if err := l.store.EndLease(context.Background(), lease); err != nil {
+		l.log.Warn("lease not ended", "key", l.record.Key, "lease", lease, "error", err.Error())
 	}
 }
--- a/internal/fleet/view/records.go
+++ b/internal/fleet/view/records.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
 )
@@ -72,3 +74,9 @@
 	next.Peers = append(next.Peers, p)
 	v.log.Info("instance", "peer", name, "address", p.Address, "revision", change.Revision)
 }
+
+// PeerRecord is the item by which other instances know of one.
+func PeerRecord(p Peer) (redwingstall.Item, error) {
+	value, err := json.Marshal(p)
+	return redwingstall.Item{Key: PeerPrefix + p.Name, Value: value}, errors.Wrap(err, "instance record")
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -52,7 +52,7 @@
 	estimator *placement.Estimator
 	pool      *backends.Pool
 	follower  *follow.Follower
-	presence  *presence.Presence
+	presence  *presence.Lease
 	leader    *leader.Leader
 	exchange  *peers.Exchange
 	callers   *callers.Server
@@ -74,15 +74,18 @@
 	}
 	g.pool = backends.NewPool(platform.Protocol, func() { g.metrics.Count("backends.connections") })
 	var err error
-	g.exchange, err = peers.NewExchange(node.Name, node.IP, node.PeerPort, g.view, g.estimator, g.metrics, log)
+	g.exchange, err = peers.NewExchange(node.Name, node.FailureDomain, node.IP, node.PeerPort, g.view, g.estimator, g.metrics, log)
 	if err != nil {
 		return nil, err
 	}
-	self := view.Peer{Name: node.Name, Address: g.exchange.Address(), FailureDomain: node.FailureDomain}
-	g.follower = follow.NewFollower(platform.Store, platform.Decoder, g.view, log)
-	g.presence = presence.NewPresence(platform.Store, self, boottime.Now, log)
+	record, err := view.PeerRecord(g.exchange.Self())
+	if err != nil {
+		return nil, err
+	}
+	g.follower = follow.NewFollower(node.Name, platform.Store, platform.Decoder, g.view, g.exchange, log)
+	g.presence = presence.NewLease(platform.Store, record, false, presenceLease, boottime.Now, log)
 	g.leader = leader.NewLeader(leader.Parts{
-		Name: node.Name, Store: platform.Store, Orders: platform.Orders, View: g.view, Presence: g.presence,
+		Name: node.Name, Store: platform.Store, Orders: platform.Orders, View: g.view,
 		Measures: capacities{g}, Clock: boottime.Now, HoldMax: node.Bounds.HoldMax, Log: log,
 	})
 	g.callers, err = callers.NewServer(node.Front, callers.Config{
@@ -140,6 +143,10 @@
 	return g.listen(net.JoinHostPort(g.node.IP, MetricsPort), g.metrics)
 }
 
+// presenceLease is how long an instance that has died counts as one of those
+// that share budgets; the shares of the others are smaller meanwhile.
+const presenceLease = 8 * time.Second
+
 const adminHeaderTimeout = 2 * time.Second
 
 func (g *Gateway) listen(address string, handler http.Handler) error {
--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -30,6 +30,8 @@
 	retryGrant = 150 * time.Millisecond
 	// retryRelease is the pause after a release without an answer.
 	retryRelease = 250 * time.Millisecond
+	// settleTime is above a heartbeat of the servers.
+	settleTime = 1200 * time.Millisecond
 	// silentGrants without an answer end the renewals: each one that might have
 	// arrived would keep the keys away from others for another hold.
 	silentGrants = 3
@@ -117,6 +119,9 @@
 	targets map[int64]string
 	// planned is when keys were last moved to even out the load.
 	planned time.Duration
+	// listed counts the servers while none owns keys yet, since an instant.
+	listed      int
+	listedSince time.Duration
 }
 
 // NewAssigner takes over a map. Whoever led before may have granted any range
@@ -242,7 +247,7 @@
 	draft := a.stored.Clone()
 	if len(draft.Ranges) == 0 {
 		servers := candidates(world)
-		if len(servers) == 0 {
+		if !a.isSettled(now, len(servers)) {
 			return draft, false
 		}
 		draft.Divide(servers)
@@ -259,6 +264,16 @@
 	return draft, changed
 }
 
+// isSettled reports whether no server has joined or left for a while, so that
+// the first division is not one among the few that registered first.
+func (a *Assigner) isSettled(now time.Duration, servers int) bool {
+	if servers != a.listed {
+		a.listed = servers
+		a.listedSince = now
+	}
+	return servers > 0 && now-a.listedSince >= settleTime
+}
+
 // takeBack starts the release of ranges whose owner must not have them.
 func (a *Assigner) takeBack(now time.Duration, draft *shardmap.Map, world World) bool {
 	changed := false
--- a/internal/ownership/assign/level.go
+++ b/internal/ownership/assign/level.go
@@ -12,15 +12,17 @@
 
 const (
 	// levelEvery lets the rates settle after a move.
-	levelEvery = 600 * time.Millisecond
-	// maxMoves at one time; each keeps its keys from being served for as long as
-	// the longest request that runs on them.
-	maxMoves = 4
+	levelEvery = 300 * time.Millisecond
+	// leastMoves at one time, or a share of the servers where that is more; each
+	// keeps its keys from being served for as long as the longest request that
+	// runs on them.
+	leastMoves   = 4
+	serversAMove = 5
 	// levelAbove is the utilization above which keys are moved away: below it a
 	// server of four slots hardly queues.
-	levelAbove = 0.55
+	levelAbove = 0.4
 	// levelGap is how much more than the target the source must be used.
-	levelGap = 0.15
+	levelGap = 0.12
 	// leastRate of a move, in requests a second; moving less is not noticed.
 	leastRate = 0.4
 )
@@ -117,7 +119,7 @@
 	}
 	c := newChooser(*draft, world)
 	changed := false
-	for ; moving < maxMoves; moving++ {
+	for most := max(leastMoves, len(c.open)/serversAMove); moving < most; moving++ {
 		if !a.levelOnce(draft, c) {
 			break
 		}
@@ -141,7 +143,7 @@
 	}
 	from, to := c.utilization(most.ID, 0), c.utilization(least.ID, 0)
 	isIdle := c.load[least.ID] == 0 // a server that has just joined
-	if from-to < levelGap || from < levelAbove && !isIdle {
+	if !isIdle && (from-to < levelGap || from < levelAbove) {
 		return false
 	}
 	capacityFrom, capacityTo := c.world.Servers[most.ID].Capacity, c.world.Servers[least.ID].Capacity
@@ -151,7 +153,9 @@
 	if !found || rate < leastRate && !isIdle || c.utilization(least.ID, rate) >= from {
 		return false
 	}
-	draft.Split(keys)
+	for _, part := range pieces(keys, c.world.Rates, rate) {
+		draft.Split(part)
+	}
 	for i := range draft.Ranges {
 		r := &draft.Ranges[i]
 		if r.From < keys.From || r.To > keys.To {
@@ -193,3 +197,25 @@
 	}
 	return best, rate, found
 }
+
+const (
+	// pieceRate is the request rate of the pieces that keys are released in. A
+	// piece without work under way changes hands at once.
+	pieceRate  = 2.0
+	mostPieces = 6
+)
+
+// pieces cuts keys into parts of about the same rate.
+func pieces(keys redwingstall.KeyRange, rates []float32, rate float64) []redwingstall.KeyRange {
+	n := min(max(int(rate/pieceRate), 1), mostPieces, keys.Len())
+	parts := []redwingstall.KeyRange{}
+	from, sum := keys.From, 0.0
+	for key := keys.From; key <= keys.To; key++ {
+		sum += rangeRate(rates, redwingstall.KeyRange{From: key, To: key})
+		if sum >= rate/float64(n) || key == keys.To {
+			parts = append(parts, redwingstall.KeyRange{From: from, To: key})
+			from, sum = key+1, 0
+		}
+	}
+	return parts
+}
--- a/internal/ownership/keyload/keyload.go
+++ b/internal/ownership/keyload/keyload.go
@@ -7,9 +7,9 @@
 	"github.com/redwingstall/redwingstall"
 )
 
-// halfLife of the measured rates. A key that becomes hot shows within two
-// seconds, and a burst of a few requests does not move keys.
-const halfLife = 2500 * time.Millisecond
+// halfLife of the measured rates. A key that becomes hot shows within a second,
+// and a few requests at one moment do not move keys.
+const halfLife = 1500 * time.Millisecond
 
 // decayEvery is how often the rates are aged.
 const decayEvery = halfLife / 10
@@ -17,13 +17,12 @@
 // decayFactor is the tenth root of one half.
 const decayFactor = 0.9330329915
 
-// rateScale turns the decayed sum into requests a second: ln 2 / halfLife.
-const rateScale = 0.69314718 / 2.5
-
 // Meter holds a decaying count for each key. It is not safe for concurrent use.
 type Meter struct {
 	counts []float32
 	aged   time.Time
+	// span is the decayed time, in seconds, that the counts stand for.
+	span float64
 }
 
 // Add counts one request for a key.
@@ -42,6 +41,7 @@
 	factor := float32(1)
 	for now.Sub(m.aged) >= decayEvery && factor > 0.001 {
 		factor *= decayFactor
+		m.span = (m.span + decayEvery.Seconds()) * decayFactor
 		m.aged = m.aged.Add(decayEvery)
 	}
 	if now.Sub(m.aged) >= decayEvery {
@@ -59,8 +59,9 @@
 func (m *Meter) Rates(now time.Time) []float32 {
 	m.age(now)
 	rates := make([]float32, len(m.counts))
+	scale := float32(1 / (m.span + now.Sub(m.aged).Seconds() + decayEvery.Seconds()/2))
 	for i, c := range m.counts {
-		rates[i] = c * rateScale
+		rates[i] = c * scale
 	}
 	return rates
 }
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -20,6 +20,11 @@
 
 const (
 	tick = 50 * time.Millisecond
+	// Lease of the leader: it outlives three lost renewals, and a leader that
+	// died is replaced after it.
+	Lease = 3 * time.Second
+	// standFor is how long a try to become leader lasts.
+	standFor = 2 * time.Second
 	// rankPause spreads the instances' tries to become leader.
 	rankPause = 120 * time.Millisecond
 	// GrantTimeout is far above a round trip with a lost packet.
@@ -45,7 +50,6 @@
 	Store    redwingstall.MetadataStore
 	Orders   redwingstall.KeyOwner
 	View     *view.View
-	Presence *presence.Presence
 	Measures Measures
 	// Clock counts suspensions.
 	Clock   func() time.Duration
@@ -57,6 +61,9 @@
 type Leader struct {
 	Parts
 	done chan struct{}
+	// adopted wakes the leader when a map was stored, so that the orders that
+	// follow from it are sent at once.
+	adopted chan struct{}
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -74,7 +81,7 @@
 
 // NewLeader returns a leader that is not running.
 func NewLeader(parts Parts) *Leader {
-	return &Leader{Parts: parts, done: make(chan struct{})}
+	return &Leader{Parts: parts, done: make(chan struct{}), adopted: make(chan struct{}, 1)}
 }
 
 // Done is closed when Run has ended.
@@ -91,10 +98,8 @@
 func (l *Leader) Run(ctx context.Context) {
 	defer close(l.done)
 	for ctx.Err() == nil {
-		if lease, isCertain := l.Presence.Lease(); isCertain && l.holdsRecord(lease) {
-			l.lead(ctx, lease)
-		} else if isCertain {
-			l.stand(ctx, lease)
+		if s := l.View.Snapshot(); s.Leader.Key == "" && l.hasWork(s) {
+			l.stand(ctx)
 		}
 		l.pause(ctx, tick)
 	}
@@ -114,22 +119,31 @@
 	return record.Lease == lease && string(record.Value) == l.Name
 }
 
-// stand tries to write the leader's record if there is none.
-func (l *Leader) stand(ctx context.Context, lease int64) {
-	s := l.View.Snapshot()
-	if s.Leader.Key != "" || !l.hasWork(s) {
-		return
-	}
-	l.pause(ctx, time.Duration(l.rank(s))*rankPause)
+// stand tries to write the leader's record, and leads if that succeeds. The
+// lease is opened for it, and is short: what leads is needed by all.
+func (l *Leader) stand(ctx context.Context) {
+	l.pause(ctx, time.Duration(l.rank(l.View.Snapshot()))*rankPause)
 	if l.View.Snapshot().Leader.Key != "" || ctx.Err() != nil {
 		return
 	}
-	revision, err := l.Store.Commit(ctx, redwingstall.Transaction{
-		Expect: []redwingstall.Expectation{{Key: view.LeaderKey}},
-		Writes: []redwingstall.Item{{Key: view.LeaderKey, Value: []byte(l.Name), Lease: lease}},
-	})
-	l.Log.Info("stood for leader", "lease", lease, "revision", revision, "error", errorText(err))
-	l.pause(ctx, rankPause)
+	record := redwingstall.Item{Key: view.LeaderKey, Value: []byte(l.Name)}
+	term := presence.NewLease(l.Store, record, true, Lease, l.Clock, l.Log)
+	running, stop := context.WithCancel(ctx)
+	defer func() {
+		stop()
+		<-term.Done()
+	}()
+	go term.Run(running)
+	for attempt := time.Duration(0); attempt < standFor; attempt += tick {
+		l.pause(ctx, tick)
+		if lease, isCertain := term.Lease(); isCertain && l.holdsRecord(lease) {
+			l.lead(ctx, term, lease)
+			return
+		}
+		if leader := l.View.Snapshot().Leader; leader.Key != "" && string(leader.Value) != l.Name {
+			return
+		}
+	}
 }
 
 func errorText(err error) string {
@@ -162,12 +176,12 @@
 }
 
 // lead acts until the lease is not certain any more or the record is gone.
-func (l *Leader) lead(ctx context.Context, lease int64) {
+func (l *Leader) lead(ctx context.Context, term *presence.Lease, lease int64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l.Log.Info("leading", "lease", lease)
 	l.setLeads(true)
-	reason := l.act(ctx, lease)
+	reason := l.act(ctx, term, lease)
 	l.setLeads(false)
 	l.Log.Info("not leading any more", "lease", lease, "reason", reason)
 }
@@ -179,15 +193,15 @@
 	l.services = map[string]*service{}
 }
 
-func (l *Leader) act(ctx context.Context, lease int64) string {
+func (l *Leader) act(ctx context.Context, term *presence.Lease, lease int64) string {
 	for ctx.Err() == nil {
-		if current, isCertain := l.Presence.Lease(); !isCertain || current != lease {
+		if current, isCertain := term.Lease(); !isCertain || current != lease {
 			return "lease not certain"
 		}
 		if !l.holdsRecord(lease) {
 			return "record gone"
 		}
-		if !l.step(ctx, lease) {
+		if !l.step(ctx, term) {
 			return "owner map written by another leader"
 		}
 		snapshot := l.View.Snapshot()
@@ -196,6 +210,8 @@
 		case <-timer.C:
 		case <-snapshot.Changed:
 			timer.Stop()
+		case <-l.adopted:
+			timer.Stop()
 		case <-ctx.Done():
 			timer.Stop()
 		}
@@ -205,7 +221,7 @@
 
 // step plans, writes and sends for every sharded service. It reports false once
 // another leader has written a map.
-func (l *Leader) step(ctx context.Context, lease int64) bool {
+func (l *Leader) step(ctx context.Context, term *presence.Lease) bool {
 	s := l.View.Snapshot()
 	if s.Config == nil {
 		return true
@@ -219,7 +235,7 @@
 				continue
 			}
 		}
-		if !l.stepService(ctx, lease, s, name) {
+		if !l.stepService(ctx, term, s, name) {
 			return false
 		}
 	}
@@ -233,7 +249,7 @@
 }
 
 func (l *Leader) timing() assign.Timing {
-	return assign.Timing{Hold: min(l.HoldMax, maxHold), Lease: presence.Lease, GrantTimeout: GrantTimeout}
+	return assign.Timing{Hold: min(l.HoldMax, maxHold), Lease: Lease, GrantTimeout: GrantTimeout}
 }
 
 // takeOver reads a map and writes it under a new term.
@@ -298,7 +314,7 @@
 	return world
 }
 
-func (l *Leader) stepService(ctx context.Context, lease int64, s *view.Snapshot, name string) bool {
+func (l *Leader) stepService(ctx context.Context, term *presence.Lease, s *view.Snapshot, name string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state := l.services[name]
@@ -308,7 +324,7 @@
 	world := l.world(s, name, state.addresses)
 	now := l.Clock()
 	for _, o := range state.assigner.Orders(now, world, state.addresses) {
-		go l.send(ctx, lease, name, state, o)
+		go l.send(ctx, term, name, state, o)
 	}
 	if state.isWriting {
 		return true
@@ -342,14 +358,21 @@
 	}
 	state.assigner.Adopt(draft)
 	state.revision = revision
+	l.wake()
 	l.Log.Info("owner map written", "service", name, "revision", revision, "ranges", len(draft.Ranges), "lastFence", draft.LastFence)
 }
 
+func (l *Leader) wake() {
+	select {
+	case l.adopted <- struct{}{}:
+	default:
+	}
+}
+
 // send sends one order, unless the lease has become uncertain by now.
-func (l *Leader) send(ctx context.Context, lease int64, name string, state *service, o assign.Order) {
+func (l *Leader) send(ctx context.Context, term *presence.Lease, name string, state *service, o assign.Order) {
 	var result assign.Result
-	current, isCertain := l.Presence.Lease()
-	if !isCertain || current != lease {
+	if _, isCertain := term.Lease(); !isCertain {
 		result.IsSilent = true
 	} else {
 		result = l.deliver(ctx, name, o)
@@ -357,6 +380,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state.assigner.Done(l.Clock(), o, result)
+	if o.Kind == assign.OrderRelease {
+		l.wake()
+	}
 }
 
 func (l *Leader) deliver(ctx context.Context, name string, o assign.Order) assign.Result {
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -46,6 +46,8 @@
 
 type state struct {
 	inFlight int
+	// samples is the number of answers that the factor rests on.
+	samples  int
 	factor   float64
 	load     redwingstall.ServerLoad
 	loadAt   time.Time
@@ -145,7 +147,7 @@
 
 // factorNow joins the own average with those of other instances.
 func (s *state) factorNow(now time.Time) float64 {
-	sum, n := s.factor, 1.0
+	sum, n := s.factor*min(float64(s.samples), 10)+0.5, min(float64(s.samples), 10)+0.5
 	for _, p := range s.peers {
 		if now.Sub(p.at) < peerAge && p.factor > 0 {
 			sum += p.factor
@@ -226,6 +228,7 @@
 		return
 	}
 	sample := min(max(alone/float64(work), minFactor), maxFactor)
+	s.samples++
 	s.factor += gain * (sample - s.factor)
 	// The route's work is what it takes at a server of average speed.
 	e.work[route] += time.Duration(gain / 4 * (alone/s.factor - float64(work)))
@@ -262,14 +265,26 @@
 // Reports returns what has changed since the last call, and every server with
 // requests in flight.
 func (e *Estimator) Reports(now time.Time) []Report {
+	return e.reports(now, func(s *state) bool {
+		isNews := s.told || s.inFlight > 0
+		s.told = false
+		return isNews
+	})
+}
+
+// AllReports returns every server that this instance has sent requests to.
+func (e *Estimator) AllReports(now time.Time) []Report {
+	return e.reports(now, func(s *state) bool { return s.samples > 0 })
+}
+
+func (e *Estimator) reports(now time.Time, isWanted func(*state) bool) []Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	reports := []Report{}
 	for id, s := range e.servers {
-		if !s.told && s.inFlight == 0 {
+		if !isWanted(s) {
 			continue
 		}
-		s.told = false
 		age := now.Sub(s.loadAt)
 		reports = append(reports, Report{
 			Server: id, InFlight: s.inFlight, Factor: s.factor,
