--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -130,9 +130,14 @@
 // Capacity of a server from its slots and learned speed.
 func (c capacities) Capacity(server *view.Server) float64 {
 	work := c.estimator.ServiceWork(server.Service)
-	return float64(server.Slots) / (work.Seconds() * c.estimator.Factor(time.Now(), server.ID))
+	factor := c.estimator.Factor(time.Now(), server.ID)
+	return float64(server.Slots) / (work.Seconds() * min(max(factor, leastFactor), mostFactor))
 }
 
+// Bounds of a server's speed as far as ownership follows it: moments in which
+// it is slower still pass before keys have moved.
+const leastFactor, mostFactor = 0.5, 3.0
+
 // openAdmin serves readiness and metrics.
 func (g *Gateway) openAdmin(readyPath string) error {
 	mux := http.NewServeMux()
--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -3,6 +3,7 @@
 package assign
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingstall/redwingstall"
@@ -253,7 +254,7 @@
 		draft.Divide(servers)
 		return draft, true
 	}
-	changed := a.takeBack(now, &draft, world)
+	changed := a.takeBack(&draft, world)
 	changed = a.giveOut(now, &draft, world) || changed
 	if !changed {
 		changed = a.level(now, &draft, world)
@@ -274,35 +275,53 @@
 	return servers > 0 && now-a.listedSince >= settleTime
 }
 
-// takeBack starts the release of ranges whose owner must not have them.
-func (a *Assigner) takeBack(now time.Duration, draft *shardmap.Map, world World) bool {
+// takeBack starts the release of ranges whose owner must not have them, and
+// gives ranges that were fenced off a new token.
+func (a *Assigner) takeBack(draft *shardmap.Map, world World) bool {
+	mustLeave := func(r shardmap.Range) bool { return r.State == shardmap.StateHeld && a.mustLeave(r, world) }
+	if !slices.ContainsFunc(draft.Ranges, mustLeave) {
+		return a.renewFences(draft)
+	}
+	splitLeaving(draft, world, mustLeave)
+	for i := range draft.Ranges {
+		if r := &draft.Ranges[i]; mustLeave(*r) {
+			r.State = shardmap.StateReleasing
+			r.Fence = draft.Fence()
+			r.Handover = ""
+		}
+	}
+	return true
+}
+
+// renewFences gives ranges whose owner has seen a higher token a new one.
+func (a *Assigner) renewFences(draft *shardmap.Map) bool {
 	changed := false
 	for i := range draft.Ranges {
 		r := &draft.Ranges[i]
-		if r.State != shardmap.StateHeld {
-			continue
-		}
-		key := a.order(*r, "").key()
-		if a.fenced[key] {
+		if r.State == shardmap.StateHeld && a.fenced[a.order(*r, "").key()] {
 			r.Fence = draft.Fence()
 			r.Handover = ""
 			changed = true
-			continue
 		}
-		p := a.orders[key]
-		s, found := world.Servers[r.Owner.ID]
-		isSilent := p != nil && p.silent >= silentGrants
-		if found && s.Born == r.Owner.Born && !isSilent && (s.IsUsable || !hasOther(world, r.Owner.ID)) {
-			continue
-		}
-		r.State = shardmap.StateReleasing
-		r.Fence = draft.Fence()
-		r.Handover = ""
-		changed = true
 	}
 	return changed
 }
 
+// mustLeave reports whether the owner of a range has started anew, is leaving,
+// or has left too many grants without an answer.
+func (a *Assigner) mustLeave(r shardmap.Range, world World) bool {
+	s, found := world.Servers[r.Owner.ID]
+	if !found || s.Born != r.Owner.Born {
+		return true
+	}
+	for key, p := range a.orders {
+		if key.kind == OrderGrant && key.fence == r.Fence && p.silent >= silentGrants && key.keys.From <= r.From && r.To <= key.keys.To {
+			return true
+		}
+	}
+	return !s.IsUsable && hasOther(world, r.Owner.ID)
+}
+
 // hasOther reports whether anybody else could take keys.
 func hasOther(world World, id string) bool {
 	for _, s := range world.Servers {
--- a/internal/ownership/assign/level.go
+++ b/internal/ownership/assign/level.go
@@ -17,7 +17,7 @@
 	// keeps its keys from being served for as long as the longest request that
 	// runs on them.
 	leastMoves   = 4
-	serversAMove = 5
+	serversAMove = 2
 	// levelAbove is the utilization above which keys are moved away: below it a
 	// server of four slots hardly queues.
 	levelAbove = 0.4
@@ -46,15 +46,22 @@
 	return warm
 }
 
-// rangeRate sums the rates of a range; a key without requests counts a little,
-// so that an idle service is divided evenly.
+// idleRate of a key without requests: five a second for the whole service, so
+// that an idle one is divided evenly.
+const idleRate = 5.0 / redwingstall.Keys
+
+func keyRate(rates []float32, key int) float64 {
+	if len(rates) != redwingstall.Keys {
+		return idleRate
+	}
+	return idleRate + float64(rates[key])
+}
+
+// rangeRate sums the rates of a range.
 func rangeRate(rates []float32, r redwingstall.KeyRange) float64 {
-	const idleRate = 5.0 / redwingstall.Keys // five requests a second for the whole service
-	sum := idleRate * float64(r.Len())
-	if len(rates) == redwingstall.Keys {
-		for _, rate := range rates[r.From : r.To+1] {
-			sum += float64(rate)
-		}
+	sum := 0.0
+	for key := r.From; key <= r.To; key++ {
+		sum += keyRate(rates, key)
 	}
 	return sum
 }
@@ -172,10 +179,12 @@
 }
 
 // densest finds the narrowest keys of a server that carry close to the wanted
-// rate, since keys that change hands are not served meanwhile. A single key
-// that carries more is not taken unless it is all there is below the bound.
-func densest(m shardmap.Map, rates []float32, owner shardmap.Server, wanted float64) (best redwingstall.KeyRange, rate float64, found bool) {
+// rate, since keys that change hands are not served meanwhile. Where no range of
+// the server carries that much, it takes the most that one does.
+func densest(m shardmap.Map, rates []float32, owner shardmap.Server, wanted float64) (keys redwingstall.KeyRange, rate float64, found bool) {
 	const leastPart, mostPart = 0.6, 1.15 // of the wanted rate
+	var most redwingstall.KeyRange
+	mostRate := 0.0
 	for _, r := range m.Ranges {
 		if r.State != shardmap.StateHeld || r.Owner != owner {
 			continue
@@ -183,19 +192,24 @@
 		from := r.From
 		sum := 0.0
 		for to := r.From; to <= r.To; to++ {
-			one := redwingstall.KeyRange{From: to, To: to}
-			sum += rangeRate(rates, one)
+			sum += keyRate(rates, to)
 			for sum > mostPart*wanted && from <= to {
-				sum -= rangeRate(rates, redwingstall.KeyRange{From: from, To: from})
+				sum -= keyRate(rates, from)
 				from++
 			}
-			keys := redwingstall.KeyRange{From: from, To: to}
-			if from <= to && sum >= leastPart*wanted && (!found || keys.Len() < best.Len()) {
-				best, rate, found = keys, sum, true
+			window := redwingstall.KeyRange{From: from, To: to}
+			if from <= to && sum >= leastPart*wanted && (!found || window.Len() < keys.Len()) {
+				keys, rate, found = window, sum, true
+			}
+			if from <= to && sum > mostRate {
+				most, mostRate = window, sum
 			}
 		}
 	}
-	return best, rate, found
+	if !found && mostRate > 0 {
+		return most, mostRate, true
+	}
+	return keys, rate, found
 }
 
 const (
@@ -207,11 +221,16 @@
 
 // pieces cuts keys into parts of about the same rate.
 func pieces(keys redwingstall.KeyRange, rates []float32, rate float64) []redwingstall.KeyRange {
-	n := min(max(int(rate/pieceRate), 1), mostPieces, keys.Len())
+	return cutKeys(keys, rates, rate, min(int(rate/pieceRate), mostPieces))
+}
+
+// cutKeys cuts keys into so many parts, at least one.
+func cutKeys(keys redwingstall.KeyRange, rates []float32, rate float64, n int) []redwingstall.KeyRange {
+	n = min(max(n, 1), keys.Len())
 	parts := []redwingstall.KeyRange{}
 	from, sum := keys.From, 0.0
 	for key := keys.From; key <= keys.To; key++ {
-		sum += rangeRate(rates, redwingstall.KeyRange{From: key, To: key})
+		sum += keyRate(rates, key)
 		if sum >= rate/float64(n) || key == keys.To {
 			parts = append(parts, redwingstall.KeyRange{From: from, To: key})
 			from, sum = key+1, 0
@@ -219,3 +238,46 @@
 	}
 	return parts
 }
+
+// spreadParts is how many parts the load of a server that leaves is cut into, at
+// least, so that no other server has to take all of it.
+const spreadParts = 4
+
+// splitLeaving cuts the ranges whose owner must not have them any more.
+func splitLeaving(draft *shardmap.Map, world World, mustLeave func(shardmap.Range) bool) {
+	total := rangeRate(world.Rates, redwingstall.KeyRange{From: 0, To: redwingstall.Keys - 1})
+	share := total / float64(max(len(world.Servers), 1)) / spreadParts
+	for _, r := range draft.Clone().Ranges {
+		if !mustLeave(r) {
+			continue
+		}
+		rate := rangeRate(world.Rates, r.KeyRange)
+		for _, part := range cutKeys(r.KeyRange, world.Rates, rate, int(rate/share)) {
+			draft.Split(part)
+		}
+	}
+}
+
+// Level is how much of its capacity a server uses, for logs.
+type Level struct {
+	Server   string
+	Rate     float64
+	Capacity float64
+	Keys     int
+}
+
+// Levels tells the load of each server that may take keys.
+func (a *Assigner) Levels(world World) []Level {
+	c := newChooser(a.stored, world)
+	levels := make([]Level, 0, len(c.open))
+	for _, s := range c.open {
+		level := Level{Server: s.ID, Rate: c.load[s.ID], Capacity: world.Servers[s.ID].Capacity}
+		for _, r := range a.stored.Ranges {
+			if r.Owner == s {
+				level.Keys += r.Len()
+			}
+		}
+		levels = append(levels, level)
+	}
+	return levels
+}
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -23,6 +23,8 @@
 	// Lease of the leader: it outlives three lost renewals, and a leader that
 	// died is replaced after it.
 	Lease = 3 * time.Second
+	// tellLevels is how often the servers' load is logged.
+	tellLevels = 2 * time.Second
 	// standFor is how long a try to become leader lasts.
 	standFor = 2 * time.Second
 	// rankPause spreads the instances' tries to become leader.
@@ -75,6 +77,7 @@
 	assigner  *assign.Assigner
 	revision  redwingstall.Revision
 	addresses map[string]string
+	toldAt    time.Duration
 	isWriting bool
 	isUnclear bool
 }
@@ -326,6 +329,10 @@
 	for _, o := range state.assigner.Orders(now, world, state.addresses) {
 		go l.send(ctx, term, name, state, o)
 	}
+	if now-state.toldAt >= tellLevels {
+		state.toldAt = now
+		l.Log.Info("levels", "service", name, "revision", state.revision, "levels", state.assigner.Levels(world))
+	}
 	if state.isWriting {
 		return true
 	}
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -14,6 +14,8 @@
 const (
 	// gain of the moving averages: the last ten answers or so count.
 	gain = 0.12
+	// workGain of a route's mean, over all servers.
+	workGain = 0.02
 	// reportAge is how fast a reported slowdown or queue loses its weight;
 	// neighbors come and go several times a second.
 	reportAge = 300 * time.Millisecond
@@ -73,6 +75,7 @@
 	work map[string]time.Duration
 	// byService is the same over all routes of a service.
 	byService map[string]time.Duration
+	answers   map[string]int
 }
 
 func (e *Estimator) state(id string) *state {
@@ -80,6 +83,7 @@
 		e.servers = map[string]*state{}
 		e.work = map[string]time.Duration{}
 		e.byService = map[string]time.Duration{}
+		e.answers = map[string]int{}
 	}
 	s := e.servers[id]
 	if s == nil {
@@ -230,9 +234,11 @@
 	sample := min(max(alone/float64(work), minFactor), maxFactor)
 	s.samples++
 	s.factor += gain * (sample - s.factor)
-	// The route's work is what it takes at a server of average speed.
-	e.work[route] += time.Duration(gain / 4 * (alone/s.factor - float64(work)))
-	e.byService[c.Service] += time.Duration(gain / 4 * (alone/s.factor - float64(e.byService[c.Service])))
+	// The route's work is the mean over all servers, which anchors the factors.
+	e.answers[c.Service]++
+	mean := max(workGain, 1/float64(e.answers[c.Service]+1))
+	e.work[route] += time.Duration(mean * (alone - float64(work)))
+	e.byService[c.Service] += time.Duration(mean * (alone - float64(e.byService[c.Service])))
 }
 
 func (e *Estimator) learnSlow(s *state, route string, o Outcome) {
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -92,8 +92,8 @@
 		return nil, refused{ReasonNoServer, noServerPause}
 	case best == nil:
 		return nil, refused{ReasonOverload, soonest / 2}
-	case now.Add(best.estimate.Completion / 2).After(j.deadline):
-		return nil, refused{ReasonOverload, best.estimate.Completion / 2}
+	case d.isTooLate(j, best.estimate.Completion, now):
+		return nil, refused{ReasonOverload, d.roomPause(j, best.estimate.Completion, now)}
 	}
 	if !d.takePace(s, best.server, now) {
 		return nil, refused{ReasonOverload, soonest / 2}
@@ -206,14 +206,37 @@
 // admitOwner refuses what the owner could not answer in time: no other server
 // can run the request.
 func (d *Dispatcher) admitOwner(s *view.Snapshot, j *job, c *choice, now time.Time) (*choice, refused) {
-	isLate := now.Add(c.estimate.Completion * 2 / 3).After(j.deadline)
 	isFull := c.estimate.Queue >= queueFactor*float64(c.server.Slots)
-	if isLate || isFull || c.estimate.IsResting || !d.takePace(s, c.server, now) {
-		return nil, refused{ReasonOverload, c.estimate.Completion / 2}
+	if d.isTooLate(j, c.estimate.Completion, now) || isFull || c.estimate.IsResting || !d.takePace(s, c.server, now) {
+		return nil, refused{ReasonOverload, d.roomPause(j, c.estimate.Completion, now)}
 	}
 	return c, refused{}
 }
 
+// isTooLate decides who is served under overload. A request that comes for the
+// first time is refused if it could not be answered within the latency
+// objective: serving it late would make all that follow late too. Whoever was
+// refused before has no further try, and is served while it can be in time.
+func (d *Dispatcher) isTooLate(j *job, completion time.Duration, now time.Time) bool {
+	if now.Add(time.Duration(float64(completion) * deadlineShare)).After(j.deadline) {
+		return true
+	}
+	return !j.isReturn && now.Add(completion).After(j.target.Add(d.Estimator.Work(j.route.Name)/2))
+}
+
+// deadlineShare of the expected time must fit before the deadline; half of the
+// requests take less than expected.
+const deadlineShare = 0.7
+
+// roomPause is when a refused client should come back: when enough of the queue
+// has been worked off, and early enough to be served before its deadline.
+func (d *Dispatcher) roomPause(j *job, completion time.Duration, now time.Time) time.Duration {
+	const least, mostOfPatience = 60 * time.Millisecond, 0.3
+	excess := completion - j.route.Target/2
+	most := time.Duration(float64(j.deadline.Sub(now)) * mostOfPatience)
+	return max(min(excess, most), least)
+}
+
 // retryPause is when a request that servers would not run may come back.
 func (d *Dispatcher) retryPause(j *job) time.Duration {
 	return d.Estimator.Work(j.route.Name) / 2
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -86,8 +86,9 @@
 // Dispatcher serves requests. It is safe for concurrent use.
 type Dispatcher struct {
 	Parts
-	leaving leavingClock
-	owners  ownerMisses
+	leaving  leavingClock
+	owners   ownerMisses
+	patience patience
 }
 
 // NewDispatcher returns a dispatcher.
@@ -110,6 +111,8 @@
 	// mayHaveRun is set once an attempt ended without a clear outcome.
 	mayHaveRun bool
 	lastServer string
+	// isReturn is a client that was refused before and has come back.
+	isReturn bool
 	// failure is the last answer of a server that was not a success.
 	failure *backends.Answer
 	waited  time.Duration
@@ -141,7 +144,9 @@
 	j.service = j.route.Service()
 	j.spec = s.Config.Services[j.service]
 	j.deadline = deadline(j)
-	j.target = j.request.Arrived.Add(j.route.Target)
+	gone := d.patience.gone(j.route.Name, meta.Patience)
+	j.isReturn = gone > 0
+	j.target = j.request.Arrived.Add(j.route.Target - gone)
 	d.Budget.Count(j.request.Arrived, j.service)
 	if j.spec.Sharded && meta.HasKey {
 		d.Keys.CountKey(j.request.Arrived, j.service, meta.Key)
