--- a/errors.go
+++ b/errors.go
@@ -17,4 +17,6 @@
 	ErrFenced = errors.New("redwingstall: fenced off")
 	// ErrRefused is a connection that was refused: nothing listens there.
 	ErrRefused = errors.New("redwingstall: connection refused")
+	// ErrOtherServer is an address at which another server answers now.
+	ErrOtherServer = errors.New("redwingstall: another server has the address")
 )
--- a/gateway.go
+++ b/gateway.go
@@ -158,11 +158,12 @@
 // KeyOwner takes orders about keys. An order without an answer is marked with
 // [ErrUnavailable] and may be applied seconds later. [ErrFenced] is a grant
 // below a token that the server has seen; [ErrRefused] is a connection that
-// nothing listens to.
+// nothing listens to; [ErrOtherServer] is an address that another server has
+// taken over, which ignores the order.
 type KeyOwner interface {
-	Grant(ctx context.Context, address string, grant KeyGrant) error
+	Grant(ctx context.Context, server, address string, grant KeyGrant) error
 	// Release returns the handover once the work on the keys has ended.
-	Release(ctx context.Context, address string, keys KeyRange, fence int64) (handover string, err error)
+	Release(ctx context.Context, server, address string, keys KeyRange, fence int64) (handover string, err error)
 }
 
 // RequestMeta is what a request's headers say to the router.
--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -80,7 +80,7 @@
 // use.
 type Pool struct {
 	protocol redwingstall.GatewayProtocol
-	opened   func()
+	count    func(name string)
 
 	mu      sync.Mutex
 	servers map[string]*server
@@ -101,9 +101,9 @@
 	reused    bool
 }
 
-// NewPool returns an empty pool; opened is called for each new connection.
-func NewPool(protocol redwingstall.GatewayProtocol, opened func()) *Pool {
-	return &Pool{protocol: protocol, opened: opened, servers: map[string]*server{}}
+// NewPool returns an empty pool that counts why connections are opened and closed.
+func NewPool(protocol redwingstall.GatewayProtocol, count func(name string)) *Pool {
+	return &Pool{protocol: protocol, count: count, servers: map[string]*server{}}
 }
 
 // Do sends a request to the server of an id at an address over one of at most
@@ -115,9 +115,14 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	answer, reusable, err := p.exchange(c, request)
-	if !stop() || err != nil || !reusable {
-		p.drop(c)
-	} else {
+	switch {
+	case !stop():
+		p.drop(c, "canceled")
+	case err != nil:
+		p.drop(c, "failed")
+	case !reusable:
+		p.drop(c, "notReusable")
+	default:
 		p.put(c)
 	}
 	return answer, err
@@ -141,6 +146,7 @@
 		}
 		s.open--
 		_ = c.Close()
+		p.count("connections.closed.stale")
 	}
 	if s.open >= limit {
 		p.mu.Unlock()
@@ -163,7 +169,7 @@
 	if err != nil {
 		return nil, &Error{IsRefused: errors.Is(err, syscall.ECONNREFUSED), Reason: "connect", Cause: err}
 	}
-	p.opened()
+	p.count("connections.opened")
 	return &connection{Conn: raw, reader: bufio.NewReader(raw), key: key}, nil
 }
 
@@ -189,7 +195,7 @@
 
 func (p *Pool) put(c *connection) {
 	if c.SetDeadline(time.Time{}) != nil {
-		p.drop(c)
+		p.drop(c, "broken")
 		return
 	}
 	c.idleSince = time.Now()
@@ -199,7 +205,8 @@
 	s.idle = append(s.idle, c)
 }
 
-func (p *Pool) drop(c *connection) {
+func (p *Pool) drop(c *connection, reason string) {
+	p.count("connections.closed." + reason)
 	_ = c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -220,6 +227,7 @@
 			}
 			_ = c.Close()
 			s.open--
+			p.count("connections.closed.idle")
 		}
 		s.idle = kept
 		if s.open == 0 {
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -27,6 +27,8 @@
 	// comes every 1.5 s and costs an instance 8 KB/s.
 	nearPeer = 6 * time.Millisecond
 	farPeer  = 25 * time.Millisecond
+	// leastFar is how often all that is known of servers is told.
+	leastFar = 1500 * time.Millisecond
 	// farFrom is the number of far peers up to which all are treated as near.
 	farFrom = 12
 	// maxServers a datagram keeps it below the usual MTU.
@@ -142,7 +144,7 @@
 		near, far := e.others()
 		now := time.Now()
 		targets := near
-		isFar := now.Sub(sentFar) >= time.Duration(len(far))*farPeer
+		isFar := now.Sub(sentFar) >= max(time.Duration(len(far))*farPeer, leastFar)
 		if isFar {
 			targets = append(targets, far...)
 			sentFar = now
--- a/internal/fleet/presence/presence.go
+++ b/internal/fleet/presence/presence.go
@@ -21,6 +21,9 @@
 	marginPart = 50
 	margin     = 150 * time.Millisecond
 	retryPause = 200 * time.Millisecond
+	// endTimeout keeps a stop within its grace time; a lease that is not given up
+	// ends by itself.
+	endTimeout = 400 * time.Millisecond
 )
 
 // Lease keeps one record. It is safe for concurrent use.
@@ -136,7 +139,9 @@
 	if lease == 0 {
 		return
 	}
-	if err := l.store.EndLease(context.Background(), lease); err != nil {
+	ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
+	defer cancel()
+	if err := l.store.EndLease(ctx, lease); err != nil {
 		l.log.Warn("lease not ended", "key", l.record.Key, "lease", lease, "error", err.Error())
 	}
 }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -72,7 +72,7 @@
 		estimator: &placement.Estimator{},
 		done:      make(chan struct{}),
 	}
-	g.pool = backends.NewPool(platform.Protocol, func() { g.metrics.Count("backends.connections") })
+	g.pool = backends.NewPool(platform.Protocol, g.metrics.Count)
 	var err error
 	g.exchange, err = peers.NewExchange(node.Name, node.FailureDomain, node.IP, node.PeerPort, g.view, g.estimator, g.metrics, log)
 	if err != nil {
@@ -185,8 +185,8 @@
 	// leaveFor lets the balancer see the instance as not ready: it asks once a
 	// second and takes it out after two misses.
 	leaveFor = 2600 * time.Millisecond
-	// closeMargin before the platform kills the process.
-	closeMargin = 300 * time.Millisecond
+	// closeMargin before the platform kills the process; leases are given up in it.
+	closeMargin = 1300 * time.Millisecond
 )
 
 // Run serves until the context ends, then finishes what is under way.
@@ -202,22 +202,21 @@
 	g.running.Go(func() { g.exchange.Run(parts) })
 	g.running.Go(func() { g.sweep(parts) })
 	g.running.Go(g.callers.Run)
-	g.log.Info("started", "instance", g.node.Name, "front", g.node.Front, "failureDomain", g.node.FailureDomain)
+	g.log.Info("started", "front", g.node.Front, "failureDomain", g.node.FailureDomain)
 	<-ctx.Done()
 	g.leave(resign)
 	stop()
 	g.running.Wait()
-	g.log.Info("stopped", "instance", g.node.Name)
+	g.log.Info("stopped", "counters", g.metrics.Counters())
 }
 
 // leave takes no new clients, and answers those that are there.
 func (g *Gateway) leave(resign context.CancelFunc) {
 	began := time.Now()
-	g.log.Info("leaving", "instance", g.node.Name)
+	g.log.Info("leaving")
 	g.isLeaving.Store(true)
 	g.callers.Leave()
 	resign()
-	<-g.leader.Done()
 	time.Sleep(leaveFor)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.node.Bounds.Grace-closeMargin))
 	defer cancel()
--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -106,6 +106,17 @@
 	return m.Rates(time.Now())
 }
 
+// Counters returns the value of each counter.
+func (r *Registry) Counters() map[string]int64 {
+	values := map[string]int64{}
+	r.counters.Each(func(name string, value any) {
+		if c, isCounter := value.(metrics.Counter); isCounter {
+			values[name] = c.Count()
+		}
+	})
+	return values
+}
+
 // ServeHTTP prints all of it, a line each.
 func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	lines := []string{}
--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -89,6 +89,7 @@
 	isSent     bool
 	isAnswered bool
 	isRefused  bool
+	isReplaced bool
 	sentAt     time.Duration
 	endedAt    time.Duration
 	silent     int
@@ -102,6 +103,8 @@
 	IsFenced bool
 	// IsRefused is a connection that nothing listens to.
 	IsRefused bool
+	// IsReplaced is an address at which another server answers now.
+	IsReplaced bool
 	// IsSilent is no answer; the order may be applied later.
 	IsSilent bool
 }
@@ -172,7 +175,7 @@
 
 func (a *Assigner) order(r shardmap.Range, address string) Order {
 	o := Order{Kind: OrderGrant, Address: address, Owner: r.Owner, Keys: r.KeyRange, Fence: r.Fence, Hold: a.timing.Hold, Handover: r.Handover}
-	if r.State == shardmap.StateReleasing {
+	if r.State != shardmap.StateHeld {
 		o.Kind = OrderRelease
 	}
 	return o
@@ -192,7 +195,7 @@
 	due := []Order{}
 	for _, r := range a.stored.Ranges {
 		address := addresses[r.Owner.ID]
-		if address == "" || r.Released {
+		if address == "" || r.State == shardmap.StateReleased {
 			continue
 		}
 		o := a.order(r, address)
@@ -235,6 +238,7 @@
 	case result.IsSilent:
 		p.silent++
 		p.isRefused = result.IsRefused
+		p.isReplaced = result.IsReplaced
 	default:
 		p.silent = 0
 		p.isAnswered = true
@@ -260,7 +264,7 @@
 		changed = a.level(now, &draft, world)
 	}
 	if changed {
-		draft.Join()
+		a.tidy(&draft)
 	}
 	return draft, changed
 }
@@ -283,12 +287,16 @@
 		return a.renewFences(draft)
 	}
 	splitLeaving(draft, world, mustLeave)
+	fences := map[shardmap.Server]int64{}
 	for i := range draft.Ranges {
-		if r := &draft.Ranges[i]; mustLeave(*r) {
-			r.State = shardmap.StateReleasing
-			r.Fence = draft.Fence()
-			r.Handover = ""
+		r := &draft.Ranges[i]
+		if !mustLeave(*r) {
+			continue
+		}
+		if fences[r.Owner] == 0 {
+			fences[r.Owner] = draft.ReleaseFence()
 		}
+		r.Release(fences[r.Owner])
 	}
 	return true
 }
@@ -338,38 +346,56 @@
 	chooser := newChooser(*draft, world)
 	for i := range draft.Ranges {
 		r := &draft.Ranges[i]
-		if r.State != shardmap.StateReleasing {
-			continue
-		}
-		if !r.Released {
+		if r.State == shardmap.StateReleasing {
 			handover, isFree := a.released(now, *r, world)
 			if !isFree {
 				continue
 			}
-			r.Released, r.Handover = true, handover
+			r.State, r.Handover = shardmap.StateReleased, handover
 			changed = true
 		}
-		target, found := chooser.take(*r, a.targets[r.Fence])
-		if !found {
+		if r.State != shardmap.StateReleased {
 			continue
 		}
-		delete(a.targets, r.Fence)
-		*r = shardmap.Range{KeyRange: r.KeyRange, Owner: target, Fence: draft.Fence(), State: shardmap.StateHeld, Handover: r.Handover}
-		changed = true
+		if target, found := chooser.take(*r, a.targets[r.Fence]); found {
+			r.GiveTo(target)
+			changed = true
+		}
 	}
 	return changed
 }
 
+// tidy forgets the handover of ranges that their owner has taken, merges what
+// differs in nothing then, and forgets targets of moves that are over.
+func (a *Assigner) tidy(draft *shardmap.Map) {
+	moving := map[int64]bool{}
+	for i := range draft.Ranges {
+		r := &draft.Ranges[i]
+		if r.State != shardmap.StateHeld {
+			moving[r.Fence] = true
+		} else if p := a.orders[a.order(*r, "").key()]; p != nil && p.isAnswered {
+			r.Handover = ""
+		}
+	}
+	for fence := range a.targets {
+		if !moving[fence] {
+			delete(a.targets, fence)
+		}
+	}
+	draft.Join()
+}
+
 // released reports whether the owner of a range that is taken back holds it no
-// more: it said so, or nothing listens at its address and its entry is gone,
-// or every grant that it may have taken has run out.
+// more: it said so, or nothing listens at its address and its entry is gone, or
+// another server has its address, or every grant that it may have taken has run
+// out.
 func (a *Assigner) released(now time.Duration, r shardmap.Range, world World) (handover string, isFree bool) {
 	p := a.orders[a.order(r, "").key()]
 	if p != nil && p.isAnswered {
 		return p.handover, true
 	}
 	_, isListed := world.Servers[r.Owner.ID]
-	if p != nil && p.isRefused && !isListed {
+	if p != nil && (p.isRefused && !isListed || p.isReplaced) {
 		return "", true
 	}
 	return "", now >= a.holdUntil[r.Owner.ID]
--- a/internal/ownership/assign/level.go
+++ b/internal/ownership/assign/level.go
@@ -163,15 +163,12 @@
 	for _, part := range pieces(keys, c.world.Rates, rate) {
 		draft.Split(part)
 	}
+	fence := draft.ReleaseFence()
+	a.targets[fence] = least.ID
 	for i := range draft.Ranges {
-		r := &draft.Ranges[i]
-		if r.From < keys.From || r.To > keys.To {
-			continue
+		if r := &draft.Ranges[i]; r.From >= keys.From && r.To <= keys.To {
+			r.Release(fence)
 		}
-		r.State = shardmap.StateReleasing
-		r.Fence = draft.Fence()
-		r.Handover = ""
-		a.targets[r.Fence] = least.ID
 	}
 	c.load[most.ID] -= rate
 	c.load[least.ID] += rate
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -399,14 +399,15 @@
 	case assign.OrderGrant:
 		bounded, cancel := context.WithTimeout(ctx, GrantTimeout)
 		defer cancel()
-		err = l.Orders.Grant(bounded, o.Address, redwingstall.KeyGrant{KeyRange: o.Keys, Fence: o.Fence, Hold: o.Hold, Handover: o.Handover})
+		err = l.Orders.Grant(bounded, o.Owner.ID, o.Address, redwingstall.KeyGrant{KeyRange: o.Keys, Fence: o.Fence, Hold: o.Hold, Handover: o.Handover})
 	case assign.OrderRelease:
 		bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		result.Handover, err = l.Orders.Release(bounded, o.Address, o.Keys, o.Fence)
+		result.Handover, err = l.Orders.Release(bounded, o.Owner.ID, o.Address, o.Keys, o.Fence)
 	}
 	result.IsFenced = errors.Is(err, redwingstall.ErrFenced)
 	result.IsRefused = errors.Is(err, redwingstall.ErrRefused)
+	result.IsReplaced = errors.Is(err, redwingstall.ErrOtherServer)
 	result.IsSilent = err != nil && !result.IsFenced
 	if err != nil || o.Kind == assign.OrderRelease {
 		l.Log.Info("order", "kind", o.Kind, "service", name, "server", o.Owner.ID, "from", o.Keys.From, "to", o.Keys.To,
--- a/internal/ownership/shardmap/shardmap.go
+++ b/internal/ownership/shardmap/shardmap.go
@@ -2,68 +2,122 @@
 package shardmap
 
 import (
-	"encoding/json"
 	"slices"
 	"sort"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 
 	"github.com/redwingstall/redwingstall"
 )
 
 // State of a range.
-type State string
+type State int
 
 // The states of a range.
 const (
 	// StateHeld is granted to its owner, or about to be.
-	StateHeld State = "held"
+	StateHeld State = iota
 	// StateReleasing is being taken back from its owner.
-	StateReleasing State = "releasing"
+	StateReleasing
+	// StateReleased is held by nobody: its former owner has released it, and no
+	// new one has been found yet.
+	StateReleased
 )
 
 // Server names one process of a backend server.
 type Server struct {
-	ID   string `json:"id"`
-	Born int64  `json:"born"`
+	_    struct{} `cbor:",toarray"`
+	ID   string
+	Born int64
 }
 
 // Range is a range of keys with its owner.
 type Range struct {
 	redwingstall.KeyRange
-	Owner Server `json:"owner"`
+	Owner Server
 	// Fence of the grants; while releasing, the fence of the release, which is
-	// above that of every grant of the range before.
-	Fence    int64  `json:"fence"`
-	State    State  `json:"state"`
-	Handover string `json:"handover,omitempty"`
-	// Released is set once the former owner is known to hold nothing any more,
-	// and no new owner has been found yet.
-	Released bool `json:"released,omitempty"`
+	// above that of every grant of the range before. The next token is reserved
+	// for the grant that follows.
+	Fence    int64
+	State    State
+	Handover string
+}
+
+// Release starts to take the range back.
+func (r *Range) Release(fence int64) {
+	r.State = StateReleasing
+	r.Fence = fence
+	r.Handover = ""
+}
+
+// GiveTo ends a release with a new owner.
+func (r *Range) GiveTo(owner Server) {
+	r.State = StateHeld
+	r.Owner = owner
+	r.Fence++
 }
 
 // Map is the owners of all keys of one service. The zero value has none.
 type Map struct {
 	// Term counts the leaders; each new leader writes the map once, so that
 	// late writes of former leaders find another revision.
-	Term int64 `json:"term"`
+	Term int64
 	// LastFence is the highest fencing token handed out.
-	LastFence int64   `json:"lastFence"`
-	Ranges    []Range `json:"ranges"`
+	LastFence int64
+	Ranges    []Range
+}
+
+// storedRange is a range in few bytes; its owner is an index.
+type storedRange struct {
+	_        struct{} `cbor:",toarray"`
+	From, To int
+	Owner    int
+	Fence    int64
+	State    State
+	Handover string
+}
+
+// stored is a map as it lies in the store.
+type stored struct {
+	_         struct{} `cbor:",toarray"`
+	Term      int64
+	LastFence int64
+	Owners    []Server
+	Ranges    []storedRange
 }
 
 // Decode reads a map.
 func Decode(text []byte) (Map, error) {
-	var m Map
-	if err := json.Unmarshal(text, &m); err != nil {
+	var packed stored
+	if err := cbor.Unmarshal(text, &packed); err != nil {
 		return Map{}, errors.Wrap(err, "shard map")
 	}
+	m := Map{Term: packed.Term, LastFence: packed.LastFence}
+	for _, r := range packed.Ranges {
+		if r.Owner < 0 || r.Owner >= len(packed.Owners) {
+			return Map{}, errors.Newf("shard map: range %d-%d has no owner", r.From, r.To)
+		}
+		keys := redwingstall.KeyRange{From: r.From, To: r.To}
+		m.Ranges = append(m.Ranges, Range{KeyRange: keys, Owner: packed.Owners[r.Owner], Fence: r.Fence, State: r.State, Handover: r.Handover})
+	}
 	return m, m.check()
 }
 
 // Encode writes a map.
 func (m Map) Encode() []byte {
-	text, err := json.Marshal(m)
+	packed := stored{Term: m.Term, LastFence: m.LastFence}
+	indices := map[Server]int{}
+	for _, r := range m.Ranges {
+		index, found := indices[r.Owner]
+		if !found {
+			index = len(packed.Owners)
+			indices[r.Owner] = index
+			packed.Owners = append(packed.Owners, r.Owner)
+		}
+		packed.Ranges = append(packed.Ranges, storedRange{From: r.From, To: r.To, Owner: index, Fence: r.Fence, State: r.State, Handover: r.Handover})
+	}
+	text, err := cbor.Marshal(packed)
 	if err != nil {
 		panic(err) // the type has no field that cannot be encoded
 	}
@@ -106,6 +160,14 @@
 	return m.LastFence
 }
 
+// ReleaseFence returns the token of a release; the one after it is kept for the
+// grant that follows.
+func (m *Map) ReleaseFence() int64 {
+	fence := m.Fence()
+	m.Fence()
+	return fence
+}
+
 // Divide sets ranges of equal size, one for each server.
 func (m *Map) Divide(servers []Server) {
 	m.Ranges = nil
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -76,6 +76,8 @@
 	// byService is the same over all routes of a service.
 	byService map[string]time.Duration
 	answers   map[string]int
+	// bytes is the mean size of a route's answers.
+	bytes map[string]float64
 }
 
 func (e *Estimator) state(id string) *state {
@@ -84,6 +86,7 @@
 		e.work = map[string]time.Duration{}
 		e.byService = map[string]time.Duration{}
 		e.answers = map[string]int{}
+		e.bytes = map[string]float64{}
 	}
 	s := e.servers[id]
 	if s == nil {
@@ -220,11 +223,14 @@
 	Queue   float64
 	Load    redwingstall.ServerLoad
 	HasLoad bool
+	// Bytes of the answer.
+	Bytes int
 }
 
 func (e *Estimator) learn(s *state, route string, o Outcome, c Candidate) {
 	rounds := max(1, (o.Queue+1)/float64(max(c.Slots, 1)))
 	alone := float64(o.Took) / rounds
+	e.bytes[route] += gain * (float64(o.Bytes) - e.bytes[route])
 	work := e.work[route]
 	if work == 0 {
 		e.work[route] = time.Duration(alone)
@@ -333,3 +339,10 @@
 	}
 	return presetWork
 }
+
+// Bytes is the mean size of a route's answers.
+func (e *Estimator) Bytes(route string) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.bytes[route]
+}
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -15,12 +15,17 @@
 	// queueFactor times the slots is the most that a server is let queue; its own
 	// queue is shared by all instances and some reset what does not fit.
 	queueFactor = 3.0
-	// nearGain is how much sooner a server in another failure domain must be.
-	nearGain = 0.06
+	// farMessage is what another failure domain costs a request: a round trip of
+	// 2 ms and the bytes of its headers.
+	farMessage = 8 * time.Millisecond
+	// farKilobyte is what each kilobyte of an answer from another failure domain
+	// is taken to cost, since links between them are the dearest: an answer of
+	// 90 KB goes there if it comes 130 ms sooner.
+	farKilobyte = 1450 * time.Microsecond
 	// noise breaks ties between instances that know the same.
 	noise = 0.12
 	// connectCost of a new connection against a kept one.
-	connectCost = 4 * time.Millisecond
+	connectCost = 15 * time.Millisecond
 	// connectionShare of a server's connections that the instances use together.
 	connectionShare = 0.85
 	// ownerPoll is the longest wait for a newer owner map before looking again.
@@ -116,12 +121,14 @@
 	return max(int(connectionShare*float64(connections))/max(instances, 1), 1)
 }
 
+const kilobyte = 1000
+
 // cost in nanoseconds: the expected completion, made worse by a new connection
 // and by another failure domain.
 func (d *Dispatcher) cost(j *job, c *choice) float64 {
 	cost := float64(c.estimate.Completion)
 	if c.server.FailureDomain != d.FailureDomain {
-		cost *= 1 + nearGain
+		cost += float64(farMessage) + float64(farKilobyte)*d.Estimator.Bytes(j.route.Name)/kilobyte
 	}
 	if !d.Backends.HasIdle(c.server.ID, c.server.Address) {
 		cost += float64(connectCost)
@@ -187,8 +194,8 @@
 	if !found {
 		return nil, false
 	}
-	if r.State == shardmap.StateReleasing {
-		return nil, s.ByID[r.Owner.ID] != nil
+	if r.State != shardmap.StateHeld {
+		return nil, r.State == shardmap.StateReleased || s.ByID[r.Owner.ID] != nil
 	}
 	server := s.ByID[r.Owner.ID]
 	if server == nil || server.Born != r.Owner.Born {
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -229,6 +229,7 @@
 	verdict := judge(j, answer, err, ctx.Err() != nil)
 	d.Estimator.End(time.Now(), j.route.Name, c.candidate(), placement.Outcome{
 		Kind: verdict.teaches, Took: took, Queue: c.estimate.Queue, Load: answer.Meta.Load, HasLoad: answer.Meta.HasLoad,
+		Bytes: len(answer.Body),
 	})
 	d.Counter.Count("attempts." + verdict.name)
 	if verdict.isMisdirected {
