--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -4,6 +4,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -16,18 +17,25 @@
 )
 
 const (
-	// watchers is how many instances watch the store: one may be cut off.
+	// watchers is how many instances watch the store, each in another failure
+	// domain where there are several: one may be cut off.
 	watchers = 2
-	// watchWait bounds how long a silenced connection goes unnoticed; with the
-	// client's slack it stays below the 2 s in which a configuration applies.
-	watchWait = 1200 * time.Millisecond
+	// watchWait of a watcher, and confirmedLimit after which it does not speak for
+	// the store any more. With newsLimit and a call of one's own, changes still
+	// arrive within 2 s, in which a configuration applies, if all watchers are cut
+	// off without a sound.
+	watchWait      = 500 * time.Millisecond
+	confirmedLimit = 700 * time.Millisecond
+	// aloneWait of an instance that watches for itself.
+	aloneWait = 1200 * time.Millisecond
 	// batchPause lets changes gather before the next call.
 	batchPause = 15 * time.Millisecond
 	retryPause = 150 * time.Millisecond
 	// newsEvery is how often a watcher tells its revision without changes.
-	newsEvery = 200 * time.Millisecond
-	// newsLimit without news makes an instance watch the store itself.
-	newsLimit = 650 * time.Millisecond
+	newsEvery = 150 * time.Millisecond
+	// newsLimit without news, three lost in a row, makes an instance watch the
+	// store itself.
+	newsLimit = 500 * time.Millisecond
 	// catchUpWait of the call that fetches what news left out.
 	catchUpWait = 20 * time.Millisecond
 )
@@ -60,6 +68,8 @@
 
 	// revision up to which the view is complete.
 	revision redwingstall.Revision
+	// confirmed is when the store last answered.
+	confirmed time.Time
 	// watchesAlone is set while there are no news.
 	watchesAlone bool
 }
@@ -107,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	f.view.StoreBack(time.Now())
+	f.confirm()
 	changes := make([]redwingstall.Change, 0, len(items))
 	for _, i := range items {
 		changes = append(changes, redwingstall.Change{Item: i})
@@ -120,13 +130,23 @@
 
 // isWatcher reports whether this instance is one of those that watch.
 func (f *Follower) isWatcher() bool {
-	names := []string{}
-	for _, p := range f.view.Snapshot().Peers {
-		names = append(names, p.Name)
+	return slices.Contains(chooseWatchers(f.view.Snapshot().Peers), f.self)
+}
+
+// chooseWatchers takes the first instance of each failure domain in turn, by
+// name, until there are enough.
+func chooseWatchers(peers []view.Peer) []string {
+	sorted := slices.SortedFunc(slices.Values(peers), func(a, b view.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	chosen, domains := []string{}, map[string]bool{}
+	for _, spreads := range []bool{true, false} {
+		for _, p := range sorted {
+			if len(chosen) < watchers && !slices.Contains(chosen, p.Name) && !(spreads && domains[p.FailureDomain]) {
+				chosen = append(chosen, p.Name)
+				domains[p.FailureDomain] = true
+			}
+		}
 	}
-	slices.Sort(names)
-	rank := slices.Index(names, f.self)
-	return rank >= 0 && rank < watchers
+	return chosen
 }
 
 // follow applies changes until the history is gone.
@@ -153,31 +173,41 @@
 func (f *Follower) watch(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	if f.isWatcher() {
-		go f.repeatNews(ctx, f.revision)
+	isWatcher := f.isWatcher()
+	wait := aloneWait
+	if isWatcher {
+		wait = watchWait
+		go f.repeatNews(ctx, f.revision, f.confirmed)
 	}
 	after := f.revision
-	changes, at, err := f.store.Watch(ctx, "", after, watchWait)
+	changes, at, err := f.store.Watch(ctx, "", after, wait)
 	if err != nil {
 		return err
 	}
-	f.view.StoreBack(time.Now())
+	f.confirm()
 	f.apply(changes, at)
 	if len(changes) > 0 {
-		if f.isWatcher() {
+		if isWatcher {
 			f.relay.Tell(News{After: int64(after), At: int64(f.revision), Changes: changes})
 		}
 		pause(ctx, batchPause)
 	}
-	if !f.isWatcher() {
+	if !isWatcher {
 		f.watchesAlone = !f.hasNews()
 	}
 	return nil
 }
 
-// repeatNews tells the revision again, so that lost news are noticed.
-func (f *Follower) repeatNews(ctx context.Context, revision redwingstall.Revision) {
-	for ctx.Err() == nil {
+// confirm notes that the store has answered.
+func (f *Follower) confirm() {
+	f.confirmed = time.Now()
+	f.view.StoreBack(f.confirmed)
+}
+
+// repeatNews tells the revision again, so that lost news are noticed, as long as
+// the store has answered a short while ago.
+func (f *Follower) repeatNews(ctx context.Context, revision redwingstall.Revision, confirmed time.Time) {
+	for ctx.Err() == nil && time.Since(confirmed) < confirmedLimit {
 		f.relay.Tell(News{After: int64(revision), At: int64(revision)})
 		pause(ctx, newsEvery)
 	}
@@ -224,7 +254,7 @@
 	if err != nil {
 		return err
 	}
-	f.view.StoreBack(time.Now())
+	f.confirm()
 	f.apply(changes, at)
 	return nil
 }
--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -123,6 +123,10 @@
 	targets map[int64]string
 	// planned is when keys were last moved to even out the load.
 	planned time.Duration
+	// settledAt is when a former leader is certain to send nothing any more. Until
+	// then no keys are handed out: a server that starts anew under its id has
+	// forgotten what it released, and would take a late grant of its.
+	settledAt time.Duration
 	// listed counts the servers while none owns keys yet, since an instant.
 	listed      int
 	listedSince time.Duration
@@ -139,8 +143,13 @@
 		targets:   map[int64]string{},
 	}
 	a.Adopt(stored)
+	rest := timing.Lease + timing.GrantTimeout
+	if stored.IsResigned {
+		rest = 0
+	}
+	a.settledAt = now + rest
 	for _, r := range stored.Ranges {
-		a.holdUntil[r.Owner.ID] = now + timing.Lease + a.grantBound()
+		a.holdUntil[r.Owner.ID] = a.settledAt + a.grantBound()
 	}
 	return a
 }
@@ -259,7 +268,9 @@
 		return draft, true
 	}
 	changed := a.takeBack(&draft, world)
-	changed = a.giveOut(now, &draft, world) || changed
+	if now >= a.settledAt {
+		changed = a.giveOut(now, &draft, world) || changed
+	}
 	if !changed {
 		changed = a.level(now, &draft, world)
 	}
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -78,6 +78,8 @@
 	revision  redwingstall.Revision
 	addresses map[string]string
 	toldAt    time.Duration
+	// sending counts the orders under way.
+	sending   int
 	isWriting bool
 	isUnclear bool
 }
@@ -185,6 +187,10 @@
 	l.Log.Info("leading", "lease", lease)
 	l.setLeads(true)
 	reason := l.act(ctx, term, lease)
+	if reason == reasonStopping {
+		cancel()
+		l.resign()
+	}
 	l.setLeads(false)
 	l.Log.Info("not leading any more", "lease", lease, "reason", reason)
 }
@@ -219,7 +225,31 @@
 			timer.Stop()
 		}
 	}
-	return "stopping"
+	return reasonStopping
+}
+
+const (
+	reasonStopping = "stopping"
+	// resignTimeout keeps a stop within its grace time.
+	resignTimeout = 500 * time.Millisecond
+)
+
+// resign tells the next leader that no order of this one is under way: those
+// that were have been cut off with their connections.
+func (l *Leader) resign() {
+	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
+	defer cancel()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, s := range l.services {
+		if s.isWriting || s.isUnclear || s.sending > 0 {
+			continue // the next leader waits for the lease instead
+		}
+		m := s.assigner.Map().Clone()
+		m.IsResigned = true
+		_, err := l.write(ctx, name, s.revision, m)
+		l.Log.Info("resigned", "service", name, "revision", s.revision, "error", errorText(err))
+	}
 }
 
 // step plans, writes and sends for every sharded service. It reports false once
@@ -262,13 +292,16 @@
 		l.Log.Warn("owner map not read", "service", name, "error", err.Error())
 		return false
 	}
+	resigned := stored.IsResigned
 	stored.Term++
+	stored.IsResigned = false
 	next, err := l.write(ctx, name, revision, stored)
 	if err != nil {
 		l.Log.Warn("owner map not taken over", "service", name, "revision", revision, "error", err.Error())
 		return false
 	}
-	l.Log.Info("owner map taken over", "service", name, "term", stored.Term, "revision", next, "ranges", len(stored.Ranges))
+	l.Log.Info("owner map taken over", "afterResignation", resigned, "service", name, "term", stored.Term, "revision", next, "ranges", len(stored.Ranges))
+	stored.IsResigned = resigned
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.services[name] = &service{
@@ -327,6 +360,7 @@
 	world := l.world(s, name, state.addresses)
 	now := l.Clock()
 	for _, o := range state.assigner.Orders(now, world, state.addresses) {
+		state.sending++
 		go l.send(ctx, term, name, state, o)
 	}
 	if now-state.toldAt >= tellLevels {
@@ -386,6 +420,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	state.sending--
 	state.assigner.Done(l.Clock(), o, result)
 	if o.Kind == assign.OrderRelease {
 		l.wake()
--- a/internal/ownership/shardmap/shardmap.go
+++ b/internal/ownership/shardmap/shardmap.go
@@ -65,7 +65,9 @@
 	Term int64
 	// LastFence is the highest fencing token handed out.
 	LastFence int64
-	Ranges    []Range
+	// IsResigned is written by a leader that sends nothing any more.
+	IsResigned bool
+	Ranges     []Range
 }
 
 // storedRange is a range in few bytes; its owner is an index.
@@ -80,11 +82,12 @@
 
 // stored is a map as it lies in the store.
 type stored struct {
-	_         struct{} `cbor:",toarray"`
-	Term      int64
-	LastFence int64
-	Owners    []Server
-	Ranges    []storedRange
+	_          struct{} `cbor:",toarray"`
+	Term       int64
+	LastFence  int64
+	IsResigned bool
+	Owners     []Server
+	Ranges     []storedRange
 }
 
 // Decode reads a map.
@@ -93,7 +96,7 @@
 	if err := cbor.Unmarshal(text, &packed); err != nil {
 		return Map{}, errors.Wrap(err, "shard map")
 	}
-	m := Map{Term: packed.Term, LastFence: packed.LastFence}
+	m := Map{Term: packed.Term, LastFence: packed.LastFence, IsResigned: packed.IsResigned}
 	for _, r := range packed.Ranges {
 		if r.Owner < 0 || r.Owner >= len(packed.Owners) {
 			return Map{}, errors.Newf("shard map: range %d-%d has no owner", r.From, r.To)
@@ -106,7 +109,7 @@
 
 // Encode writes a map.
 func (m Map) Encode() []byte {
-	packed := stored{Term: m.Term, LastFence: m.LastFence}
+	packed := stored{Term: m.Term, LastFence: m.LastFence, IsResigned: m.IsResigned}
 	indices := map[Server]int{}
 	for _, r := range m.Ranges {
 		index, found := indices[r.Owner]
