--- a/internal/entry/callers/parse.go
+++ b/internal/entry/callers/parse.go
@@ -54,10 +54,7 @@
 			continue
 		}
 		if err != nil {
-			if len(head) > 0 {
-				return nil, errors.Wrap(io.ErrUnexpectedEOF, err.Error())
-			}
-			return nil, err
+			return nil, errors.Wrap(err, "header")
 		}
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -144,7 +144,7 @@
 	}
 	a.Adopt(stored)
 	rest := timing.Lease + timing.GrantTimeout
-	if stored.IsResigned {
+	if stored.IsResigned || len(stored.Ranges) == 0 {
 		rest = 0
 	}
 	a.settledAt = now + rest
--- /dev/null
+++ b/internal/ownership/assign/level_test.go
@@ -0,0 +1,184 @@
+package assign
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
+)
+
+// hotRates are 100 requests a second of which 60 go to 200 neighboring keys.
+func hotRates() []float32 {
+	rates := make([]float32, redwingstall.Keys)
+	for key := range rates {
+		rates[key] = 40.0 / redwingstall.Keys
+	}
+	for key := 10000; key < 10200; key++ {
+		rates[key] += 60.0 / 200
+	}
+	return rates
+}
+
+func worldOf(n int, rates []float32) World {
+	world := World{Servers: map[string]Server{}, Rates: rates}
+	for i := range n {
+		id := fmt.Sprintf("s%02d", i)
+		world.Servers[id] = Server{Server: shardmap.Server{ID: id, Born: 1}, Address: id, IsUsable: true, Capacity: 16}
+	}
+	return world
+}
+
+// run lets every order succeed at once, and returns the assigner after a while.
+func run(a *Assigner, from, to time.Duration, world World) {
+	addresses := map[string]string{}
+	for id := range world.Servers {
+		addresses[id] = id
+	}
+	for now := from; now < to; now += 50 * time.Millisecond {
+		for _, o := range a.Orders(now, world, addresses) {
+			a.Done(now, o, Result{Handover: "h"})
+		}
+		if draft, changed := a.Plan(now, world); changed {
+			a.Adopt(draft)
+		}
+	}
+}
+
+func mostUsed(a *Assigner, world World) float64 {
+	most := 0.0
+	for _, l := range a.Levels(world) {
+		most = max(most, l.Rate/l.Capacity)
+	}
+	return most
+}
+
+// Load: a hot group of keys lies with one server, which would need over twice its
+// capacity. Within two seconds no server is overloaded, and few keys moved.
+func TestHotKeysAreSpreadWithinTwoSeconds(t *testing.T) {
+	world := worldOf(13, nil)
+	a := NewAssigner(0, exploreTiming, shardmap.Map{})
+	run(a, 0, 3*time.Second, world)
+	before := a.Map()
+	world.Rates = hotRates()
+	require.Greater(t, mostUsed(a, world), 2.0)
+	run(a, 3*time.Second, 5*time.Second, world)
+	require.Less(t, mostUsed(a, world), 0.9)
+	moved := 0
+	for key := range redwingstall.Keys {
+		old, _ := before.Find(key)
+		r, _ := a.Map().Find(key)
+		if old.Owner != r.Owner {
+			moved++
+		}
+	}
+	require.Less(t, moved, redwingstall.Keys/10)
+}
+
+// Load: an even load on servers that differ twofold in speed.
+func TestSlowServersGetFewerKeys(t *testing.T) {
+	world := worldOf(12, nil)
+	rates := make([]float32, redwingstall.Keys)
+	for key := range rates {
+		rates[key] = 110.0 / redwingstall.Keys
+	}
+	world.Rates = rates
+	for i := range 6 {
+		s := world.Servers[fmt.Sprintf("s%02d", i)]
+		s.Capacity = 8
+		world.Servers[s.ID] = s
+	}
+	a := NewAssigner(0, exploreTiming, shardmap.Map{})
+	run(a, 0, 6*time.Second, world)
+	require.Less(t, mostUsed(a, world), 0.95)
+}
+
+// Servers that join get keys; a leaving one's keys are spread over the others.
+func TestKeysFollowJoiningAndLeavingServers(t *testing.T) {
+	rates := make([]float32, redwingstall.Keys)
+	for key := range rates {
+		rates[key] = 60.0 / redwingstall.Keys
+	}
+	world := worldOf(8, rates)
+	a := NewAssigner(0, exploreTiming, shardmap.Map{})
+	run(a, 0, 3*time.Second, world)
+	world.Servers["new"] = Server{Server: shardmap.Server{ID: "new", Born: 9}, IsUsable: true, Capacity: 16}
+	run(a, 3*time.Second, 5*time.Second, world)
+	require.Greater(t, loadOf(a, world, "new"), 1.0)
+
+	leaving := world.Servers["s03"]
+	leaving.IsUsable = false
+	world.Servers["s03"] = leaving
+	run(a, 5*time.Second, 6*time.Second, world)
+	for _, r := range a.Map().Ranges {
+		require.NotEqual(t, "s03", r.Owner.ID)
+	}
+	require.Less(t, mostUsed(a, world), 0.75)
+}
+
+func loadOf(a *Assigner, world World, id string) float64 {
+	for _, l := range a.Levels(world) {
+		if l.Server == id {
+			return l.Rate
+		}
+	}
+	return math.NaN()
+}
+
+// Found on a deployment: the division began when two of thirteen servers had
+// registered, and one of these had three times its share when requests came.
+func TestFirstDivisionWaitsForTheServers(t *testing.T) {
+	a := NewAssigner(0, exploreTiming, shardmap.Map{})
+	run(a, 0, 300*time.Millisecond, worldOf(2, nil))
+	run(a, 300*time.Millisecond, 900*time.Millisecond, worldOf(9, nil))
+	require.Empty(t, a.Map().Ranges)
+	run(a, 900*time.Millisecond, 4*time.Second, worldOf(13, nil))
+	require.Len(t, a.Map().Ranges, 13)
+}
+
+// A silent server's keys come back to service once no grant can be in force.
+func TestKeysOfASilentServerAreGivenOutAfterItsHold(t *testing.T) {
+	world := worldOf(4, nil)
+	a := NewAssigner(0, exploreTiming, shardmap.Map{})
+	run(a, 0, 3*time.Second, world)
+	lost := a.Map().Ranges[0].Owner
+	delete(world.Servers, lost.ID)
+	addresses := map[string]string{lost.ID: lost.ID}
+	freeAt := time.Duration(0)
+	for now := 3 * time.Second; now < 20*time.Second && freeAt == 0; now += 50 * time.Millisecond {
+		for _, o := range a.Orders(now, world, addresses) {
+			a.Done(now, o, Result{IsSilent: true})
+		}
+		if draft, changed := a.Plan(now, world); changed {
+			a.Adopt(draft)
+		}
+		if r, _ := a.Map().Find(0); r.State == shardmap.StateHeld && r.Owner != lost {
+			freeAt = now
+		}
+	}
+	require.InDelta(t, 3+exploreTiming.Hold.Seconds(), freeAt.Seconds(), 2)
+}
+
+// An address that another server has taken over proves that the owner is gone.
+func TestReplacedOwnerLosesItsKeysAtOnce(t *testing.T) {
+	world := worldOf(4, nil)
+	a := NewAssigner(0, exploreTiming, shardmap.Map{})
+	run(a, 0, 3*time.Second, world)
+	lost := a.Map().Ranges[0].Owner
+	delete(world.Servers, lost.ID)
+	addresses := map[string]string{lost.ID: lost.ID}
+	for now := 3 * time.Second; now < 3200*time.Millisecond; now += 50 * time.Millisecond {
+		for _, o := range a.Orders(now, world, addresses) {
+			a.Done(now, o, Result{IsSilent: true, IsReplaced: true})
+		}
+		if draft, changed := a.Plan(now, world); changed {
+			a.Adopt(draft)
+		}
+	}
+	r, _ := a.Map().Find(0)
+	require.NotEqual(t, lost, r.Owner)
+}
--- /dev/null
+++ b/internal/traffic/budget/budget_test.go
@@ -0,0 +1,59 @@
+package budget
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Load: each of 8 instances wants to repeat every request, with very uneven
+// shares of the requests. Over all instances no window exceeds the bound.
+func TestRepeatsOfAllInstancesStayWithinTheBound(t *testing.T) {
+	const instances, ratio, extra = 8, 0.2, 56.0
+	const window = 10 * time.Second
+	random := rand.New(rand.NewPCG(1, 2))
+	budgets := make([]*Budget, instances)
+	for i := range budgets {
+		budgets[i] = NewBudget(ratio, extra, window)
+	}
+	var requests, repeats []time.Time
+	start := time.Unix(1000, 0)
+	for now := start; now.Before(start.Add(40 * time.Second)); now = now.Add(8 * time.Millisecond) {
+		i := min(int(random.ExpFloat64()*2), instances-1)
+		budgets[i].Count(now, "s")
+		requests = append(requests, now)
+		if budgets[i].Take(now, "s", instances, 0) {
+			repeats = append(repeats, now)
+		}
+	}
+	require.NotEmpty(t, repeats)
+	for at := start.Add(window); at.Before(now(requests)); at = at.Add(time.Second) {
+		bound := ratio*count(requests, at, window) + extra
+		require.LessOrEqual(t, count(repeats, at, window), bound)
+	}
+}
+
+func now(instants []time.Time) time.Time { return instants[len(instants)-1] }
+
+func count(instants []time.Time, end time.Time, window time.Duration) float64 {
+	n := 0.0
+	for _, t := range instants {
+		if !t.After(end) && t.After(end.Add(-window)) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestReserveIsLeftForRequestsThatWereNotRun(t *testing.T) {
+	b := NewBudget(0, 10, time.Second)
+	start := time.Unix(1000, 0)
+	taken := 0
+	for b.Take(start, "s", 1, 0.5) {
+		taken++
+	}
+	require.Equal(t, 4, taken)
+	require.True(t, b.Take(start, "s", 1, 0))
+}
