Tests: platform's formats, answers of servers, following the store, ends of attempts

Found by them and mended: an answer behind a stray one was given up; a watcher that is cut off now hears the news from substitutes; a store that drops its history at once again no longer makes a tight loop.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -293,23 +293,23 @@
 // request may be in the way; its connection is not used again.
 func (p *Pool) readOwn(c *connection, request Request) (Answer, bool, error) {
 	for stray := 0; ; stray++ {
-		answer, reusable, err := p.read(c, request)
+		answer, hasEnd, err := p.read(c, request)
 		if err != nil {
 			return Answer{}, false, err
 		}
 		if answer.Meta.ID == request.ID {
-			return answer, reusable && stray == 0, nil
+			return answer, hasEnd && stray == 0 && c.reader.Buffered() == 0, nil
 		}
-		if stray == strayAnswers || !reusable {
+		if stray == strayAnswers || !hasEnd {
 			return Answer{}, false, errors.Newf("answer to %q", answer.Meta.ID)
 		}
 	}
 }
 
-func (p *Pool) read(c *connection, request Request) (Answer, bool, error) {
+// read reads one answer. It reports whether the connection goes on behind it.
+func (p *Pool) read(c *connection, request Request) (answerRead Answer, hasEnd bool, err error) {
 	var answer *http.Response
 	for {
-		var err error
 		answer, err = http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return Answer{}, false, err
@@ -328,9 +328,9 @@
 	}
 	isDelimited := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0 || request.Method == http.MethodHead
 	c.idleFor = idleTime(answer.Header)
-	reusable := isDelimited && !answer.Close && c.reader.Buffered() == 0
+	hasEnd = isDelimited && !answer.Close
 	removeHopHeaders(answer.Header)
-	return Answer{Status: answer.StatusCode, Header: answer.Header, Body: body, Meta: p.protocol.Answer(answer.Header)}, reusable, nil
+	return Answer{Status: answer.StatusCode, Header: answer.Header, Body: body, Meta: p.protocol.Answer(answer.Header)}, hasEnd, nil
 }
 
 // idleTime is how long the server lets a connection wait, less a margin.
--- /dev/null
+++ b/internal/entry/backends/backends_test.go
@@ -0,0 +1,231 @@
+package backends_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall/internal/entry/backends"
+	"github.com/redwingstall/redwingstall/platform"
+)
+
+// server answers each request on a connection with what script returns for it.
+type server struct {
+	listener net.Listener
+	accepted atomic.Int32
+}
+
+func serve(t *testing.T, script func(n int, request *http.Request, c net.Conn)) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &server{listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		n := 0
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go func() {
+				reader := bufio.NewReader(c)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					n++
+					script(n, request, c)
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func pool() *backends.Pool { return backends.NewPool(platform.Headers{}, func(string) {}) }
+
+func request(id string) backends.Request {
+	return backends.Request{Method: "GET", Target: "/x?y=%20", Host: "h", Header: http.Header{"Request-Id": {id}}, ID: id}
+}
+
+func do(p *backends.Pool, s *server, id string) (backends.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return p.Do(ctx, "s", s.listener.Addr().String(), 4, request(id))
+}
+
+func reply(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	s := serve(t, func(_ int, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("Request-Id"), r.RequestURI)
+	})
+	p := pool()
+	for i := range 5 {
+		answer, err := do(p, s, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.Equal(t, "/x?y=%20", string(answer.Body))
+	}
+	require.EqualValues(t, 1, s.accepted.Load())
+}
+
+// A second answer to an earlier request belongs to no request of ours.
+func TestStrayAnswersAreSkipped(t *testing.T) {
+	s := serve(t, func(n int, r *http.Request, c net.Conn) {
+		id := r.Header.Get("Request-Id")
+		if n == 2 {
+			reply(c, "first", "late")
+		}
+		reply(c, id, id)
+	})
+	p := pool()
+	for _, id := range []string{"first", "second", "third"} {
+		answer, err := do(p, s, id)
+		require.NoError(t, err)
+		require.Equal(t, id, string(answer.Body))
+	}
+	require.EqualValues(t, 2, s.accepted.Load(), "the connection with the stray answer is closed")
+}
+
+func TestStrayBytesOnAnIdleConnectionEndIt(t *testing.T) {
+	s := serve(t, func(n int, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("Request-Id"), "x")
+		if n == 1 {
+			time.Sleep(10 * time.Millisecond)
+			reply(c, "first", "again")
+		}
+	})
+	p := pool()
+	_, err := do(p, s, "first")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = do(p, s, "second")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, s.accepted.Load())
+}
+
+func TestAnswersThatAreNotWholeAreErrors(t *testing.T) {
+	for name, text := range map[string]string{
+		"cut":       "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 10\r\n\r\nabc",
+		"chunkCut":  "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"noise":     "\x00\x01\x02\r\n\r\n",
+		"nothing":   "",
+		"wrongOnly": "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, func(_ int, _ *http.Request, c net.Conn) {
+				_, _ = io.WriteString(c, text)
+				_ = c.Close()
+			})
+			_, err := do(pool(), s, "a")
+			failed := &backends.Error{}
+			require.True(t, errors.As(err, &failed))
+			require.True(t, failed.IsSent, "it may have run")
+		})
+	}
+}
+
+// An answer without a length ends with its connection; a reset is no end.
+func TestAnswerWithoutLength(t *testing.T) {
+	for _, isReset := range []bool{false, true} {
+		s := serve(t, func(_ int, _ *http.Request, c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Signature: s\r\n\r\nabc")
+			time.Sleep(20 * time.Millisecond)
+			if isReset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+		})
+		answer, err := do(pool(), s, "a")
+		if isReset {
+			require.Error(t, err)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, "abc", string(answer.Body))
+	}
+}
+
+// A server may answer before it has read the body; the rest of the body would
+// be taken for the next request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	s := serve(t, func(_ int, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("Request-Id"), "early")
+		time.Sleep(50 * time.Millisecond)
+	})
+	p := pool()
+	for range 2 {
+		r := request("a")
+		r.Method, r.HasBody, r.Body = "POST", true, []byte(strings.Repeat("x", 16<<20))
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		answer, err := p.Do(ctx, "s", s.listener.Addr().String(), 4, r)
+		cancel()
+		require.NoError(t, err)
+		require.Equal(t, "early", string(answer.Body))
+	}
+	require.EqualValues(t, 2, s.accepted.Load())
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	_, err = pool().Do(context.Background(), "s", listener.Addr().String(), 4, request("a"))
+	failed := &backends.Error{}
+	require.True(t, errors.As(err, &failed))
+	require.False(t, failed.IsSent)
+	require.True(t, failed.IsRefused)
+}
+
+func TestConnectionLimit(t *testing.T) {
+	held := make(chan struct{})
+	s := serve(t, func(_ int, r *http.Request, c net.Conn) {
+		<-held
+		reply(c, r.Header.Get("Request-Id"), "x")
+	})
+	p := pool()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := p.Do(context.Background(), "s", s.listener.Addr().String(), 1, request("a"))
+		ended <- err
+	}()
+	require.Eventually(t, func() bool { return s.accepted.Load() == 1 }, time.Second, time.Millisecond)
+	_, err := p.Do(context.Background(), "s", s.listener.Addr().String(), 1, request("b"))
+	failed := &backends.Error{}
+	require.True(t, errors.As(err, &failed))
+	require.Equal(t, backends.ReasonConnections, failed.Reason)
+	close(held)
+	require.NoError(t, <-ended)
+}
+
+func TestCanceledAttemptClosesItsConnection(t *testing.T) {
+	gone := make(chan struct{})
+	s := serve(t, func(_ int, _ *http.Request, c net.Conn) {
+		_, _ = c.Read(make([]byte, 1))
+		close(gone)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := pool().Do(ctx, "s", s.listener.Addr().String(), 4, request("a"))
+	require.Error(t, err)
+	select {
+	case <-gone:
+	case <-time.After(time.Second):
+		t.Fatal("the server still works for a client that has gone")
+	}
+}
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -20,6 +20,8 @@
 	// watchers is how many instances watch the store, each in another failure
 	// domain where there are several: one may be cut off.
 	watchers = 2
+	// substitutes watch for all while there are no news of the watchers.
+	substitutes = 2
 	// watchWait of a watcher, and confirmedLimit after which it does not speak for
 	// the store any more. With newsLimit and a call of one's own, changes still
 	// arrive within 2 s, in which a configuration applies, if all watchers are cut
@@ -70,6 +72,8 @@
 	revision redwingstall.Revision
 	// confirmed is when the store last answered.
 	confirmed time.Time
+	// retryAt is when the store is asked again after a failure.
+	retryAt time.Time
 	// watchesAlone is set while there are no news.
 	watchesAlone bool
 }
@@ -130,17 +134,22 @@
 
 // isWatcher reports whether this instance is one of those that watch.
 func (f *Follower) isWatcher() bool {
-	return slices.Contains(chooseWatchers(f.view.Snapshot().Peers), f.self)
+	return slices.Contains(chooseWatchers(f.view.Snapshot().Peers, watchers), f.self)
+}
+
+// speaks reports whether this instance tells the others what it sees.
+func (f *Follower) speaks() bool {
+	return f.isWatcher() || f.watchesAlone && slices.Contains(chooseWatchers(f.view.Snapshot().Peers, watchers+substitutes), f.self)
 }
 
 // chooseWatchers takes the first instance of each failure domain in turn, by
 // name, until there are enough.
-func chooseWatchers(peers []view.Peer) []string {
+func chooseWatchers(peers []view.Peer, n int) []string {
 	sorted := slices.SortedFunc(slices.Values(peers), func(a, b view.Peer) int { return cmp.Compare(a.Name, b.Name) })
 	chosen, domains := []string{}, map[string]bool{}
 	for _, spreads := range []bool{true, false} {
 		for _, p := range sorted {
-			if len(chosen) < watchers && !slices.Contains(chosen, p.Name) && !(spreads && domains[p.FailureDomain]) {
+			if len(chosen) < n && !slices.Contains(chosen, p.Name) && !(spreads && domains[p.FailureDomain]) {
 				chosen = append(chosen, p.Name)
 				domains[p.FailureDomain] = true
 			}
@@ -153,7 +162,8 @@
 func (f *Follower) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		var err error
-		if f.isWatcher() || f.watchesAlone {
+		isBarred := time.Now().Before(f.retryAt)
+		if (f.isWatcher() || f.watchesAlone) && !isBarred {
 			err = f.watch(ctx)
 		} else {
 			err = f.listen(ctx)
@@ -161,9 +171,12 @@
 		switch {
 		case errors.Is(err, redwingstall.ErrCompacted):
 			f.log.Info("store history compacted", "revision", f.revision)
+			pause(ctx, batchPause)
 			return
-		case err != nil:
-			f.lost(ctx, err)
+		case err != nil && ctx.Err() == nil:
+			// Others may reach the store and tell what is new.
+			f.view.StoreLost(err)
+			f.retryAt = time.Now().Add(newsLimit)
 		}
 		f.view.Expire(time.Now())
 	}
@@ -173,9 +186,9 @@
 func (f *Follower) watch(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	isWatcher := f.isWatcher()
+	speaks := f.speaks()
 	wait := aloneWait
-	if isWatcher {
+	if speaks {
 		wait = watchWait
 		go f.repeatNews(ctx, f.revision, f.confirmed)
 	}
@@ -187,12 +200,12 @@
 	f.confirm()
 	f.apply(changes, at)
 	if len(changes) > 0 {
-		if isWatcher {
+		if speaks {
 			f.relay.Tell(News{After: int64(after), At: int64(f.revision), Changes: changes})
 		}
 		pause(ctx, batchPause)
 	}
-	if !isWatcher {
+	if !f.isWatcher() {
 		f.watchesAlone = !f.hasNews()
 	}
 	return nil
@@ -242,8 +255,10 @@
 		}
 		return f.catchUp(ctx)
 	case <-timer.C:
-		f.log.Info("no news of the store, watching it", "revision", f.revision)
-		f.watchesAlone = true
+		if !f.watchesAlone && !f.isWatcher() {
+			f.log.Info("no news of the store, watching it", "revision", f.revision)
+			f.watchesAlone = true
+		}
 	case <-ctx.Done():
 	}
 	return nil
--- /dev/null
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -0,0 +1,289 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/entry/backends"
+	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
+	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/budget"
+	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
+	"github.com/redwingstall/redwingstall/internal/traffic/pace"
+	"github.com/redwingstall/redwingstall/platform"
+)
+
+// fakeBackends answers attempts by a script.
+type fakeBackends struct {
+	mu     sync.Mutex
+	script func(n int, id string, r backends.Request) (backends.Answer, error)
+	sent   []string
+	lefts  []time.Duration
+}
+
+func (f *fakeBackends) Do(ctx context.Context, id, _ string, _ int, r backends.Request) (backends.Answer, error) {
+	f.mu.Lock()
+	f.sent = append(f.sent, id)
+	millis, _ := strconv.Atoi(r.Header.Get("Request-Deadline"))
+	f.lefts = append(f.lefts, time.Duration(millis)*time.Millisecond)
+	n := len(f.sent)
+	f.mu.Unlock()
+	answer, err := f.script(n, id, r)
+	if ctx.Err() != nil {
+		return backends.Answer{}, &backends.Error{IsSent: true, Reason: "answer", Cause: ctx.Err()}
+	}
+	answer.Meta = platform.Headers{}.Answer(answer.Header)
+	return answer, err
+}
+
+func (*fakeBackends) HasIdle(string, string) bool { return true }
+
+type nobody struct{}
+
+func (nobody) Count(string)                    {}
+func (nobody) Latency(string, time.Duration)   {}
+func (nobody) CountKey(time.Time, string, int) {}
+
+func answerOf(status int, headers ...string) backends.Answer {
+	header := http.Header{}
+	for i := 0; i+1 < len(headers); i += 2 {
+		header.Set(headers[i], headers[i+1])
+	}
+	return backends.Answer{Status: status, Header: header, Body: []byte("body")}
+}
+
+func signed(status int) backends.Answer { return answerOf(status, "Response-Signature", "s") }
+
+var (
+	refused  = &backends.Error{IsRefused: true, Reason: "connect", Cause: errors.New("refused")}
+	reset    = &backends.Error{IsSent: true, Reason: "answer", Cause: errors.New("reset")}
+	shed     = answerOf(503, "Not-Executed", "1")
+	foreign  = answerOf(421, "Not-Executed", "1")
+	encoded  = answerOf(200, "Response-Signature", "s", "Content-Encoding", "gzip")
+	unsigned = answerOf(200)
+)
+
+func configuration() redwingstall.Configuration {
+	route := func(name string, kind redwingstall.RouteKind, service string) redwingstall.Route {
+		return redwingstall.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 1200 * time.Millisecond, Target: 600 * time.Millisecond,
+			MaxAttempts: 2, Parts: []redwingstall.RoutePart{{Service: service, Weight: 1}},
+		}
+	}
+	return redwingstall.Configuration{
+		Version: 1,
+		Routes:  []redwingstall.Route{route("safe", redwingstall.KindSafe, "s"), route("unsafe", redwingstall.KindUnsafe, "s"), route("keyed", redwingstall.KindSafe, "k")},
+		Services: map[string]redwingstall.ServiceSpec{
+			"s": {Name: "s", MaxConnections: 100, WarmupRate: 5.7},
+			"k": {Name: "k", MaxConnections: 100, WarmupRate: 5.7, Sharded: true},
+		},
+	}
+}
+
+type world struct {
+	view       *view.View
+	backends   *fakeBackends
+	dispatcher *dispatch.Dispatcher
+}
+
+func newWorld(script func(n int, id string, r backends.Request) (backends.Answer, error)) *world {
+	log := slog.New(slog.DiscardHandler)
+	w := &world{view: view.NewView(log, 2*time.Second), backends: &fakeBackends{script: script}}
+	events := []redwingstall.Event{redwingstall.ConfigurationChanged{Configuration: configuration()}}
+	for _, service := range []string{"s", "k"} {
+		for _, n := range []string{"1", "2", "3"} {
+			events = append(events, redwingstall.EntryChanged{Entry: redwingstall.BackendEntry{ID: service + n, Service: service, Slots: 4, Born: 1}})
+		}
+	}
+	m := shardmap.Map{}
+	m.Divide([]shardmap.Server{{ID: "k1", Born: 1}, {ID: "k2", Born: 1}})
+	events = append(events, redwingstall.RecordChanged{Change: redwingstall.Change{Item: redwingstall.Item{Key: view.MapPrefix + "k", Value: m.Encode(), Revision: 1}}})
+	w.view.Apply(time.Now(), events, false)
+	random := rand.New(rand.NewPCG(1, 1))
+	w.dispatcher = dispatch.NewDispatcher(dispatch.Parts{
+		Self: "a", View: w.view, Backends: w.backends, Protocol: platform.Headers{}, Estimator: &placement.Estimator{},
+		Budget: budget.NewBudget(0.2, 56, 10*time.Second), Pace: &pace.Limiter{}, Keys: nobody{}, Counter: nobody{}, Log: log,
+		WarmupOverrun: 1.5, WarmupSlack: 5, DrainLimit: time.Second, Random: random.Float64,
+	})
+	return w
+}
+
+func (w *world) ask(ctx context.Context, path string, headers ...string) backends.Answer {
+	header := answerOf(0, append([]string{"Request-Id", "id", "Request-Deadline", "1500"}, headers...)...).Header
+	return w.dispatcher.Serve(ctx, dispatch.Request{Method: "GET", Target: path, Path: path, Host: "h", Header: header, Arrived: time.Now()})
+}
+
+// Each way in which attempts can end, and what the client is told. A status that
+// promises "not run" needs a server's word, or that nothing was sent.
+func TestEveryEndOfAnAttempt(t *testing.T) {
+	type end struct {
+		answer backends.Answer
+		err    error
+	}
+	ok := end{answer: signed(200)}
+	for name, c := range map[string]struct {
+		path   string
+		ends   []end
+		status int
+		sent   int
+	}{
+		"served":               {"/safe/x", []end{ok}, 200, 1},
+		"safeAfterReset":       {"/safe/x", []end{{err: reset}, ok}, 200, 2},
+		"unsafeAfterReset":     {"/unsafe/x", []end{{err: reset}, ok}, 502, 1},
+		"unsafeRefused":        {"/unsafe/x", []end{{err: refused}, ok}, 200, 2},
+		"unsafeShed":           {"/unsafe/x", []end{{answer: shed}, ok}, 200, 2},
+		"unsafeShedTwice":      {"/unsafe/x", []end{{answer: shed}, {answer: shed}}, 503, 2},
+		"unsafeShedThenReset":  {"/unsafe/x", []end{{answer: shed}, {err: reset}}, 502, 2},
+		"unsafeServerError":    {"/unsafe/x", []end{{answer: signed(500)}, ok}, 500, 1},
+		"safeServerError":      {"/safe/x", []end{{answer: signed(500)}, ok}, 200, 2},
+		"safeServerErrorTwice": {"/safe/x", []end{{answer: signed(500)}, {answer: signed(504)}}, 504, 2},
+		"unsafeEncoded":        {"/unsafe/x", []end{{answer: encoded}}, 502, 1},
+		"unsafeUnsigned":       {"/unsafe/x", []end{{answer: unsigned}}, 502, 1},
+		"unsafeOtherServer":    {"/unsafe/x", []end{{answer: foreign}, ok}, 200, 2},
+		"safeResetTwice":       {"/safe/x", []end{{err: reset}, {err: reset}}, 502, 2},
+		"clientError":          {"/safe/x", []end{{answer: signed(404)}}, 404, 1},
+		"noRoute":              {"/none/x", nil, 404, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(func(n int, _ string, _ backends.Request) (backends.Answer, error) {
+				return c.ends[n-1].answer, c.ends[n-1].err
+			})
+			answer := w.ask(t.Context(), c.path)
+			require.Equal(t, c.status, answer.Status)
+			require.Len(t, w.backends.sent, c.sent)
+			if answer.Status == 503 {
+				require.NotEmpty(t, answer.Header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+func TestUnknownConfigurationIsNotFourOhFour(t *testing.T) {
+	w := newWorld(nil)
+	w.dispatcher.View = view.NewView(slog.New(slog.DiscardHandler), 0)
+	answer := w.ask(t.Context(), "/safe/x")
+	require.Equal(t, 503, answer.Status)
+}
+
+// The time passed on is what is left of the shorter of the client's patience and
+// the route's timeout, and a second attempt gets less.
+func TestDeadlinePassedOnIsWhatIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(func(n int, _ string, _ backends.Request) (backends.Answer, error) {
+			time.Sleep(400 * time.Millisecond)
+			if n == 1 {
+				return backends.Answer{}, reset
+			}
+			return signed(200), nil
+		})
+		require.Equal(t, 200, w.ask(t.Context(), "/safe/x").Status)
+		require.Equal(t, []time.Duration{1200 * time.Millisecond, 800 * time.Millisecond}, w.backends.lefts)
+	})
+}
+
+func TestTimeoutOfTheRouteIsAnsweredInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(func(int, string, backends.Request) (backends.Answer, error) {
+			time.Sleep(1300 * time.Millisecond) // the fake looks at the context late
+			return signed(200), nil
+		})
+		began := time.Now()
+		require.Equal(t, 504, w.ask(t.Context(), "/unsafe/x").Status)
+		require.Less(t, time.Since(began), 1400*time.Millisecond)
+	})
+}
+
+func TestKeyGoesToItsOwnerOnly(t *testing.T) {
+	w := newWorld(func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil })
+	for _, key := range []string{"1", "70", "32767"} {
+		require.Equal(t, 200, w.ask(t.Context(), "/keyed/x", "Shard-Key", key).Status)
+	}
+	require.Equal(t, []string{"k1", "k1", "k1"}, w.backends.sent)
+	w.ask(t.Context(), "/keyed/x", "Shard-Key", "32768")
+	require.Equal(t, "k2", w.backends.sent[3])
+}
+
+// Load: keys that are handed over. The request waits for the new owner.
+func TestRequestWaitsForKeysThatAreHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil })
+		m := w.view.Snapshot().Maps["k"].Clone()
+		m.Ranges[0].Release(m.ReleaseFence())
+		publish := func(revision redwingstall.Revision) {
+			w.view.Apply(time.Now(), []redwingstall.Event{redwingstall.RecordChanged{Change: redwingstall.Change{Item: redwingstall.Item{Key: view.MapPrefix + "k", Value: m.Encode(), Revision: revision}}}}, false)
+		}
+		publish(2)
+		time.AfterFunc(200*time.Millisecond, func() {
+			m = m.Clone()
+			m.Ranges[0].GiveTo(shardmap.Server{ID: "k3", Born: 1})
+			publish(3)
+		})
+		require.Equal(t, 200, w.ask(t.Context(), "/keyed/x", "Shard-Key", "5").Status)
+		require.Equal(t, []string{"k3"}, w.backends.sent)
+	})
+}
+
+func TestKeysOfALostServerAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(nil)
+		w.view.Apply(time.Now(), []redwingstall.Event{redwingstall.EntryRemoved{ID: "k1"}}, false)
+		began := time.Now()
+		answer := w.ask(t.Context(), "/keyed/x", "Shard-Key", "5")
+		require.Equal(t, 503, answer.Status)
+		require.NotEmpty(t, answer.Header.Get("Retry-After"))
+		require.Less(t, time.Since(began), 10*time.Millisecond)
+	})
+}
+
+func TestNothingGoesToServersThatLeave(t *testing.T) {
+	w := newWorld(func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil })
+	w.view.Apply(time.Now(), []redwingstall.Event{
+		redwingstall.EntryChanged{Entry: redwingstall.BackendEntry{ID: "s1", Service: "s", Slots: 4, Born: 1, Draining: true}},
+		redwingstall.EntryChanged{Entry: redwingstall.BackendEntry{ID: "s2", Service: "s", Slots: 4, Born: 1, FailureDomain: "z"}},
+		redwingstall.EvacuationChanged{FailureDomain: "z", IsActive: true},
+	}, false)
+	for range 20 {
+		require.Equal(t, 200, w.ask(t.Context(), "/safe/x").Status)
+	}
+	require.NotContains(t, w.backends.sent, "s1")
+	require.NotContains(t, w.backends.sent, "s2")
+}
+
+// Load: an owner whose queue is already longer than the latency objective. Who
+// comes for the first time is refused at once, so that the queue stays short
+// enough for those who are let in.
+func TestOverloadedOwnerRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		busy := make(chan struct{})
+		w := newWorld(func(n int, _ string, _ backends.Request) (backends.Answer, error) {
+			if n <= 9 {
+				<-busy
+			}
+			return signed(200), nil
+		})
+		for range 9 {
+			go w.ask(context.Background(), "/keyed/x", "Shard-Key", "5")
+			synctest.Wait()
+		}
+		w.dispatcher.Estimator.Learn(time.Now(), "peer", []placement.Report{{Server: "k1", InFlight: 8, Factor: 2}})
+		began := time.Now()
+		answer := w.ask(t.Context(), "/keyed/x", "Shard-Key", "5")
+		require.Equal(t, 503, answer.Status)
+		require.Less(t, time.Since(began), 10*time.Millisecond)
+		close(busy)
+		synctest.Wait()
+		time.Sleep(2 * time.Second)
+	})
+}
