Leveling beside a hot key; bounded map writes; the leader hears of all keys

Cause: on the grown deployment one key with 118 requests/s made its server the most used one for good, and leveling stopped there; the keys of requests were told to far instances only every 1.5 s and lost in between, so that the leader saw 45% of the load.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -4,7 +4,6 @@
 package follow
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -142,10 +141,10 @@
 	return f.isWatcher() || f.watchesAlone && slices.Contains(chooseWatchers(f.view.Snapshot().Peers, watchers+substitutes), f.self)
 }
 
-// chooseWatchers takes the first instance of each failure domain in turn, by
-// name, until there are enough.
+// chooseWatchers takes the strongest instance of each failure domain in turn,
+// until there are enough.
 func chooseWatchers(peers []view.Peer, n int) []string {
-	sorted := slices.SortedFunc(slices.Values(peers), func(a, b view.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	sorted := view.ByStrength(peers)
 	chosen, domains := []string{}, map[string]bool{}
 	for _, spreads := range []bool{true, false} {
 		for _, p := range sorted {
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 
 	"time"
 
@@ -16,6 +17,7 @@
 
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 )
 
@@ -77,6 +79,7 @@
 	view      *view.View
 	estimator *placement.Estimator
 	keys      KeySink
+	count     func(name string, n int64)
 	log       *slog.Logger
 	news      chan follow.News
 	done      chan struct{}
@@ -85,21 +88,22 @@
 var _ follow.Relay = (*Exchange)(nil)
 
 // NewExchange opens the socket.
-func NewExchange(name, failureDomain, ip string, port int, v *view.View, e *placement.Estimator, keys KeySink, log *slog.Logger) (*Exchange, error) {
-	address, err := netip.ParseAddr(ip)
+func NewExchange(node settings.Node, v *view.View, e *placement.Estimator, keys KeySink, count func(name string, n int64), log *slog.Logger) (*Exchange, error) {
+	address, err := netip.ParseAddr(node.IP)
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
-	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, uint16(port))))
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(address, uint16(node.PeerPort))))
 	if err != nil {
 		return nil, errors.Wrap(err, "peers")
 	}
 	return &Exchange{
-		self:      view.Peer{Name: name, Address: socket.LocalAddr().String(), FailureDomain: failureDomain},
+		self:      view.Peer{Name: node.Name, Address: socket.LocalAddr().String(), FailureDomain: node.FailureDomain, LinkMbps: node.LinkMbps},
 		socket:    socket,
 		view:      v,
 		estimator: e,
 		keys:      keys,
+		count:     count,
 		log:       log,
 		news:      make(chan follow.News, 64),
 		done:      make(chan struct{}),
@@ -185,6 +189,10 @@
 
 func (e *Exchange) exchange(now time.Time, peers []netip.AddrPort, isFar bool) {
 	keys := e.keys.TakeKeys()
+	if leader, found := e.leader(); found && len(keys) > 0 && !slices.Contains(peers, leader) {
+		// The leader moves keys by their load, and must not wait for it.
+		e.encode(datagram{From: e.self.Name, Keys: trim(keys)}, []netip.AddrPort{leader})
+	}
 	reports := e.estimator.Reports(now)
 	if isFar {
 		// Far peers learn the speed of servers, not what is in flight for a moment.
@@ -200,18 +208,35 @@
 		if len(peers) == 0 || len(message.Loads) == 0 && len(message.Keys) == 0 {
 			return
 		}
-		text, err := cbor.Marshal(message)
-		if err != nil {
-			e.log.Error("datagram not encoded", "error", err.Error())
-			return
+		e.encode(message, peers)
+	}
+}
+
+func (e *Exchange) encode(message datagram, peers []netip.AddrPort) {
+	text, err := cbor.Marshal(message)
+	if err != nil {
+		e.log.Error("datagram not encoded", "error", err.Error())
+		return
+	}
+	e.write(text, peers)
+}
+
+// leader is the address of the instance that moves keys, unless it is this one.
+func (e *Exchange) leader() (netip.AddrPort, bool) {
+	s := e.view.Snapshot()
+	for _, p := range s.Peers {
+		if p.Name == string(s.Leader.Value) && p.Name != e.self.Name {
+			address, err := netip.ParseAddrPort(p.Address)
+			return address, err == nil
 		}
-		e.write(text, peers)
 	}
+	return netip.AddrPort{}, false
 }
 
 // write sends a datagram. One that is not sent is like one that is lost: the
 // next exchange carries newer counts.
 func (e *Exchange) write(text []byte, peers []netip.AddrPort) {
+	e.count("datagrams.bytes", int64(len(text)*len(peers)))
 	for _, p := range peers {
 		_, _ = e.socket.WriteToUDPAddrPort(text, p)
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -35,6 +35,16 @@
 	Name          string `json:"name"`
 	Address       string `json:"address"`
 	FailureDomain string `json:"failureDomain"`
+	// LinkMbps is the bandwidth of the instance's link.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
+}
+
+// ByStrength sorts instances, those with the widest link first: duties that send
+// to all others go to these.
+func ByStrength(peers []Peer) []Peer {
+	return slices.SortedFunc(slices.Values(peers), func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(a.Name, b.Name))
+	})
 }
 
 // Snapshot is one consistent state. It is never changed.
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -74,7 +74,7 @@
 	}
 	g.pool = backends.NewPool(platform.Protocol, g.metrics.Count)
 	var err error
-	g.exchange, err = peers.NewExchange(node.Name, node.FailureDomain, node.IP, node.PeerPort, g.view, g.estimator, g.metrics, log)
+	g.exchange, err = peers.NewExchange(node, g.view, g.estimator, g.metrics, g.metrics.Add, log)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/settings/settings.go
+++ b/internal/node/settings/settings.go
@@ -34,6 +34,7 @@
 	// MemoryBytes above which the platform kills the process.
 	MemoryBytes int64
 	MaxFiles    int
+	LinkMbps    float64
 	Heartbeat   time.Duration
 	MinLease    time.Duration
 	Bounds      Bounds
--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -42,8 +42,11 @@
 }
 
 // Count adds one to a counter.
-func (r *Registry) Count(name string) {
-	metrics.GetOrRegisterCounter(name, r.counters).Inc(1)
+func (r *Registry) Count(name string) { r.Add(name, 1) }
+
+// Add adds to a counter.
+func (r *Registry) Add(name string, n int64) {
+	metrics.GetOrRegisterCounter(name, r.counters).Inc(n)
 }
 
 // Set sets a counter that is kept elsewhere.
--- a/internal/ownership/assign/level.go
+++ b/internal/ownership/assign/level.go
@@ -18,6 +18,8 @@
 	// runs on them.
 	leastMoves   = 4
 	serversAMove = 2
+	// mostMoves bounds what the instances must be told at one time.
+	mostMoves = 16
 	// levelAbove is the utilization above which keys are moved away: below it a
 	// server of four slots hardly queues.
 	levelAbove = 0.4
@@ -126,7 +128,7 @@
 	}
 	c := newChooser(*draft, world)
 	changed := false
-	for most := max(leastMoves, len(c.open)/serversAMove); moving < most; moving++ {
+	for most := min(max(leastMoves, len(c.open)/serversAMove), mostMoves); moving < most; moving++ {
 		if !a.levelOnce(draft, c) {
 			break
 		}
@@ -135,26 +137,34 @@
 	return changed
 }
 
+// levelOnce moves keys away from the most used server that can be helped: one
+// whose load is a single key cannot.
 func (a *Assigner) levelOnce(draft *shardmap.Map, c *chooser) bool {
 	if len(c.open) < 2 {
 		return false
 	}
-	most, least := c.open[0], c.open[0]
-	for _, s := range c.open {
-		if c.utilization(s.ID, 0) > c.utilization(most.ID, 0) {
-			most = s
+	byUse := slices.Clone(c.open)
+	slices.SortStableFunc(byUse, func(x, y shardmap.Server) int {
+		return cmp.Compare(c.utilization(y.ID, 0), c.utilization(x.ID, 0))
+	})
+	least := byUse[len(byUse)-1]
+	isIdle := c.load[least.ID] == 0 // a server that has just joined
+	for _, most := range byUse[:len(byUse)-1] {
+		from, to := c.utilization(most.ID, 0), c.utilization(least.ID, 0)
+		if !isIdle && (from-to < levelGap || from < levelAbove) {
+			return false
 		}
-		if c.utilization(s.ID, 0) < c.utilization(least.ID, 0) {
-			least = s
+		if a.move(draft, c, most, least, isIdle) {
+			return true
 		}
 	}
+	return false
+}
+
+// move takes keys from one server for another, so that both are used evenly.
+func (a *Assigner) move(draft *shardmap.Map, c *chooser, most, least shardmap.Server, isIdle bool) bool {
 	from, to := c.utilization(most.ID, 0), c.utilization(least.ID, 0)
-	isIdle := c.load[least.ID] == 0 // a server that has just joined
-	if !isIdle && (from-to < levelGap || from < levelAbove) {
-		return false
-	}
 	capacityFrom, capacityTo := c.world.Servers[most.ID].Capacity, c.world.Servers[least.ID].Capacity
-	// The rate that evens the two servers' utilization out.
 	wanted := (from - to) / (1/capacityFrom + 1/capacityTo)
 	keys, rate, found := densest(*draft, c.world.Rates, most, wanted)
 	if !found || rate < leastRate && !isIdle || c.utilization(least.ID, rate) >= from {
@@ -263,6 +273,14 @@
 	Keys     int
 }
 
+// Utilization is the used part of the capacity.
+func (l Level) Utilization() float64 {
+	if l.Capacity <= 0 {
+		return 0
+	}
+	return l.Rate / l.Capacity
+}
+
 // Levels tells the load of each server that may take keys.
 func (a *Assigner) Levels(world World) []Level {
 	c := newChooser(a.stored, world)
--- a/internal/ownership/assign/level_test.go
+++ b/internal/ownership/assign/level_test.go
@@ -182,3 +182,22 @@
 	r, _ := a.Map().Find(0)
 	require.NotEqual(t, lost, r.Owner)
 }
+
+// Load: one key has more requests than any server bears, and a group of others
+// is hot too. Found on a deployment: the one key's server was always the most
+// used, and nothing else was leveled.
+func TestOneHotKeyDoesNotStopLeveling(t *testing.T) {
+	world := worldOf(13, nil)
+	a := NewAssigner(0, exploreTiming, shardmap.Map{})
+	run(a, 0, 3*time.Second, world)
+	world.Rates = hotRates()
+	world.Rates[60000] += 50
+	run(a, 3*time.Second, 6*time.Second, world)
+	overloaded := 0
+	for _, l := range a.Levels(world) {
+		if l.Utilization() > 0.95 {
+			overloaded++
+		}
+	}
+	require.Equal(t, 1, overloaded)
+}
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -3,6 +3,7 @@
 package leader
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -23,8 +24,13 @@
 	// Lease of the leader: it outlives three lost renewals, and a leader that
 	// died is replaced after it.
 	Lease = 3 * time.Second
-	// tellLevels is how often the servers' load is logged.
-	tellLevels = 2 * time.Second
+	// writePause between writes of a map, for each instance that must be told of
+	// it: a map of 300 ranges takes 8 KB, and 80 instances 2 MB/s at most.
+	writePause = 5 * time.Millisecond
+	// levelsEvery is how often the servers' load is logged, and mostLevels how many
+	// of the most used servers a line names.
+	levelsEvery = 2 * time.Second
+	mostLevels  = 4
 	// standFor is how long a try to become leader lasts.
 	standFor = 2 * time.Second
 	// rankPause spreads the instances' tries to become leader.
@@ -78,6 +84,7 @@
 	revision  redwingstall.Revision
 	addresses map[string]string
 	toldAt    time.Duration
+	wroteAt   time.Duration
 	// sending counts the orders under way.
 	sending   int
 	isWriting bool
@@ -172,12 +179,12 @@
 
 // rank orders the instances so that they do not all write at once.
 func (l *Leader) rank(s *view.Snapshot) int {
-	names := []string{}
-	for _, p := range s.Peers {
-		names = append(names, p.Name)
+	for i, p := range view.ByStrength(s.Peers) {
+		if p.Name == l.Name {
+			return i
+		}
 	}
-	slices.Sort(names)
-	return max(slices.Index(names, l.Name), 0)
+	return 0
 }
 
 // lead acts until the lease is not certain any more or the record is gone.
@@ -363,20 +370,38 @@
 		state.sending++
 		go l.send(ctx, term, name, state, o)
 	}
-	if now-state.toldAt >= tellLevels {
+	if now-state.toldAt >= levelsEvery {
 		state.toldAt = now
-		l.Log.Info("levels", "service", name, "revision", state.revision, "levels", state.assigner.Levels(world))
+		l.tellLevels(name, state, world)
 	}
-	if state.isWriting {
+	if state.isWriting || now-state.wroteAt < time.Duration(len(s.Peers))*writePause {
 		return true
 	}
 	if draft, changed := state.assigner.Plan(now, world); changed || state.isUnclear {
 		state.isWriting = true
+		state.wroteAt = now
 		go l.store(ctx, name, state, draft, state.revision)
 	}
 	return true
 }
 
+// tellLevels logs what moves of keys are decided from.
+func (l *Leader) tellLevels(name string, state *service, world assign.World) {
+	levels := state.assigner.Levels(world)
+	slices.SortFunc(levels, func(a, b assign.Level) int { return cmp.Compare(b.Utilization(), a.Utilization()) })
+	rate, capacity := 0.0, 0.0
+	for _, level := range levels {
+		rate += level.Rate
+		capacity += level.Capacity
+	}
+	median := 0.0
+	if len(levels) > 0 {
+		median = levels[len(levels)/2].Utilization()
+	}
+	l.Log.Info("levels", "service", name, "revision", state.revision, "ranges", len(state.assigner.Map().Ranges), "servers", len(levels),
+		"ratePerSecond", rate, "capacityPerSecond", capacity, "median", median, "most", levels[:min(len(levels), mostLevels)])
+}
+
 // store writes a map and adopts it. A write without an answer is settled by
 // reading: the map that is found is either the former one or that write.
 func (l *Leader) store(ctx context.Context, name string, state *service, draft shardmap.Map, old redwingstall.Revision) {
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -16,6 +16,9 @@
 	gain = 0.12
 	// workGain of a route's mean, over all servers.
 	workGain = 0.02
+	// plainRounds is up to how long a queue an answer tells the work of a route;
+	// behind a longer one it tells more of the estimate of the queue.
+	plainRounds = 1.25
 	// reportAge is how fast a reported slowdown or queue loses its weight;
 	// neighbors come and go several times a second.
 	reportAge = 300 * time.Millisecond
@@ -240,6 +243,9 @@
 	sample := min(max(alone/float64(work), minFactor), maxFactor)
 	s.samples++
 	s.factor += gain * (sample - s.factor)
+	if rounds > plainRounds {
+		return
+	}
 	// The route's work is the mean over all servers, which anchors the factors.
 	e.answers[c.Service]++
 	mean := max(workGain, 1/float64(e.answers[c.Service]+1))
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -36,10 +36,14 @@
 func (i *instance) front() string { return fmt.Sprintf("%s:%d", i.ip, frontPort) }
 func (i *instance) ready() string { return fmt.Sprintf("%s:%d", i.ip, readyPort) }
 
-// start runs the program with a settings file of the platform's form.
+// start runs the program with a settings file of the platform's form, unless it
+// runs already: two faults may have ended the same process.
 func (i *instance) start() error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if i.isRunning() {
+		return nil
+	}
 	settings := filepath.Join(i.folder, i.name+".conf")
 	text := fmt.Sprintf("node=%s\nip=%s\nzone=%s\nlisten.front=%s\nlisten.ready=%s\ninternal_ports=%d,%d\nheartbeat_ms=500\nplatform.address=%s\n",
 		i.name, i.ip, i.domain, i.front(), i.ready(), peerPort, peerPort, i.store.address())
@@ -69,6 +73,18 @@
 	return nil
 }
 
+func (i *instance) isRunning() bool {
+	if i.exited == nil {
+		return false
+	}
+	select {
+	case <-i.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // GatewayVariable tells a test binary to run as the program.
 const GatewayVariable = "REDWINGSTALL_SOAK_GATEWAY"
 
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -52,6 +52,7 @@
 // Counter counts events and measures latencies.
 type Counter interface {
 	Count(name string)
+	Add(name string, n int64)
 	Latency(name string, took time.Duration)
 }
 
@@ -232,6 +233,9 @@
 		Bytes: len(answer.Body),
 	})
 	d.Counter.Count("attempts." + verdict.name)
+	if server.FailureDomain != d.FailureDomain {
+		d.Counter.Add("answers.farBytes", int64(len(answer.Body)))
+	}
 	if verdict.isMisdirected {
 		d.owners.miss(time.Now(), j.service, j.meta.Key, server.ID)
 	}
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -52,6 +52,7 @@
 
 type nobody struct{}
 
+func (nobody) Add(string, int64)               {}
 func (nobody) Count(string)                    {}
 func (nobody) Latency(string, time.Duration)   {}
 func (nobody) CountKey(time.Time, string, int) {}
