--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 test: lint unit
 
 lint:
-	@test -z "$$(cd tools && $(GO) tool gofumpt -l ../cmd ../pkg ../test ../*.go | grep -v peerv1)" || { cd tools && $(GO) tool gofumpt -l ../cmd ../pkg ../test ../*.go; exit 1; }
+	@test -z "$$(cd tools && $(GO) tool gofumpt -l ../cmd ../internal ../pkg ../platform ../test ../*.go | grep -v peerv1)" || { cd tools && $(GO) tool gofumpt -l ../cmd ../internal ../pkg ../platform ../test ../*.go; exit 1; }
 	cd tools && $(GO) build -o ../bin/revive github.com/mgechev/revive
 	./bin/revive -config revive.toml -set_exit_status -exclude ./pkg/peer/peerv1/... ./...
 	$(GO) vet ./...
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/netip"
 	"slices"
-
 	"time"
 
 	"github.com/cockroachdb/errors"
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -14,11 +14,27 @@
 		name string
 		run  func(pause time.Duration, draw int)
 	}{
-		{"kill", s.kill}, {"pause", s.pause}, {"term", s.term}, {"term", s.term}, {"hangup", s.hangUp},
-		{"cutFromStore", s.cutFromStore}, {"resetStore", s.resetStore}, {"slowStore", s.slowStore},
-		{"storeBusy", s.storeBusy}, {"storeLosesAnswers", s.storeLosesAnswers}, {"compact", s.compact}, {"revoke", s.revoke},
-		{"crashServer", s.crashServer}, {"silenceServer", s.silenceServer}, {"oneWayServer", s.oneWayServer}, {"drainServer", s.drainServer},
-		{"loseAnswers", s.loseAnswers}, {"configure", s.newVersion}, {"configure", s.newVersion}, {"evacuate", s.evacuate}, {"loseEntry", s.loseEntry},
+		{"kill", s.kill},
+		{"pause", s.pause},
+		{"term", s.term},
+		{"term", s.term},
+		{"hangup", s.hangUp},
+		{"cutFromStore", s.cutFromStore},
+		{"resetStore", s.resetStore},
+		{"slowStore", s.slowStore},
+		{"storeBusy", s.storeBusy},
+		{"storeLosesAnswers", s.storeLosesAnswers},
+		{"compact", s.compact},
+		{"revoke", s.revoke},
+		{"crashServer", s.crashServer},
+		{"silenceServer", s.silenceServer},
+		{"oneWayServer", s.oneWayServer},
+		{"drainServer", s.drainServer},
+		{"loseAnswers", s.loseAnswers},
+		{"configure", s.newVersion},
+		{"configure", s.newVersion},
+		{"evacuate", s.evacuate},
+		{"loseEntry", s.loseEntry},
 	}
 	fault := faults[s.random.IntN(len(faults))]
 	pause := time.Duration(300+s.random.IntN(3500)) * time.Millisecond
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -227,7 +227,7 @@
 		Header: header, Body: j.request.Body, HasBody: j.request.HasBody, ID: j.meta.ID,
 	})
 	took := time.Since(began)
-	verdict := judge(j, answer, err, ctx.Err() != nil)
+	verdict := judge(answer, err, ctx.Err() != nil)
 	d.Estimator.End(time.Now(), j.route.Name, c.candidate(), placement.Outcome{
 		Kind: verdict.teaches, Took: took, Queue: c.estimate.Queue, Load: answer.Meta.Load, HasLoad: answer.Meta.HasLoad,
 		Bytes: len(answer.Body),
--- a/internal/traffic/dispatch/verdict.go
+++ b/internal/traffic/dispatch/verdict.go
@@ -25,7 +25,7 @@
 
 // judge reads the outcome of an attempt. Only a server that says so has not run
 // what was sent to it.
-func judge(j *job, answer backends.Answer, err error, isOver bool) verdict {
+func judge(answer backends.Answer, err error, isOver bool) verdict {
 	failed := &backends.Error{}
 	switch {
 	case errors.As(err, &failed) && !failed.IsSent:
--- a/pkg/app/cli.go
+++ b/pkg/app/cli.go
@@ -16,6 +16,7 @@
 	"github.com/redwingstall/redwingstall/pkg/operator"
 	"github.com/redwingstall/redwingstall/pkg/settings"
 	"github.com/redwingstall/redwingstall/pkg/templates"
+	"github.com/redwingstall/redwingstall/platform"
 )
 
 // Exit codes of the program.
@@ -30,6 +31,7 @@
 type Arguments struct {
 	Serve    *ServeCommand    `arg:"subcommand:serve" help:"run an entry instance"`
 	Gateway  *GatewayCommand  `arg:"subcommand:gateway" help:"run an instance on a platform"`
+	Explain  *ExplainCommand  `arg:"subcommand:explain" help:"tell from logs on standard input what became of a request"`
 	Check    *CheckCommand    `arg:"subcommand:check" help:"check settings, a template or an account offline"`
 	Template *TemplateCommand `arg:"subcommand:template" help:"publish, list or show templates"`
 	Account  *AccountCommand  `arg:"subcommand:account" help:"set, list, show or render client accounts"`
@@ -64,8 +66,13 @@
 	GatewayCommand struct {
 		Settings string `arg:"--settings" help:"the platform's settings file; else the environment names it"`
 	}
+	// ExplainCommand reads logs of instances on a platform.
+	ExplainCommand struct {
+		ID string `arg:"positional,required" help:"request id"`
+	}
 	// CheckCommand validates files without a network.
 	CheckCommand struct {
+		Platform string `arg:"--platform" help:"a platform's settings file"`
 		Settings string `arg:"--settings" help:"settings file"`
 		Template string `arg:"--template" help:"template file"`
 		Account  string `arg:"--account" help:"account file, together with its template"`
@@ -193,6 +200,8 @@
 		return serve(*a.Serve, stdout, stderr)
 	case a.Gateway != nil:
 		return serveGateway(*a.Gateway, stdout)
+	case a.Explain != nil:
+		return explain(a.Explain.ID, os.Stdin, stdout)
 	case a.Check != nil:
 		return check(*a.Check, stdout)
 	}
@@ -222,8 +231,14 @@
 }
 
 func check(command CheckCommand, stdout io.Writer) error {
-	if command.Settings == "" && command.Template == "" {
-		return errors.Mark(errors.New("check needs --settings or --template"), errUsage)
+	if command.Settings == "" && command.Template == "" && command.Platform == "" {
+		return errors.Mark(errors.New("check needs --settings, --platform or --template"), errUsage)
+	}
+	if command.Platform != "" {
+		if _, err := platform.LoadNode(command.Platform); err != nil {
+			return errors.Mark(err, errUsage)
+		}
+		fmt.Fprintf(stdout, "%s: platform settings are valid\n", command.Platform)
 	}
 	if command.Settings != "" {
 		if _, err := settings.Load(command.Settings); err != nil {
