--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -52,6 +52,8 @@
 type refused struct {
 	reason string
 	pause  time.Duration
+	// best is the server that would have answered first, if one was looked at.
+	best *choice
 }
 
 // choose returns the server for the next attempt, or why there is none.
@@ -94,14 +96,14 @@
 	}
 	switch {
 	case known == 0:
-		return nil, refused{ReasonNoServer, noServerPause}
+		return nil, refused{reason: ReasonNoServer, pause: noServerPause}
 	case best == nil:
-		return nil, refused{ReasonOverload, soonest / 2}
+		return nil, refused{reason: ReasonOverload, pause: soonest / 2}
 	case d.isTooLate(j, best.estimate.Completion, now):
-		return nil, refused{ReasonOverload, d.roomPause(j, best.estimate.Completion, now)}
+		return nil, refused{ReasonOverload, d.roomPause(j, best.estimate.Completion, now), best}
 	}
 	if !d.takePace(s, best.server, now) {
-		return nil, refused{ReasonOverload, soonest / 2}
+		return nil, refused{ReasonOverload, soonest / 2, best}
 	}
 	return best, refused{}
 }
@@ -170,7 +172,7 @@
 		}
 		left := j.target.Sub(now) - d.Estimator.Work(j.route.Name)
 		if !isComing || left <= 0 {
-			return nil, refused{ReasonNoOwner, noOwnerPause}
+			return nil, refused{reason: ReasonNoOwner, pause: noOwnerPause}
 		}
 		timer := time.NewTimer(min(left, ownerPoll))
 		select {
@@ -215,7 +217,7 @@
 func (d *Dispatcher) admitOwner(s *view.Snapshot, j *job, c *choice, now time.Time) (*choice, refused) {
 	isFull := c.estimate.Queue >= queueFactor*float64(c.server.Slots)
 	if d.isTooLate(j, c.estimate.Completion, now) || isFull || c.estimate.IsResting || !d.takePace(s, c.server, now) {
-		return nil, refused{ReasonOverload, d.roomPause(j, c.estimate.Completion, now)}
+		return nil, refused{ReasonOverload, d.roomPause(j, c.estimate.Completion, now), c}
 	}
 	return c, refused{}
 }
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -183,6 +183,7 @@
 	for {
 		choice, refusal := d.choose(ctx, j)
 		if choice == nil {
+			d.tellRefusal(j, refusal)
 			return d.give(ctx, j, refusal)
 		}
 		if j.attempts > 0 && !d.mayRepeat(j) {
@@ -199,6 +200,17 @@
 	}
 }
 
+// tellRefusal logs what a refusal was decided from.
+func (d *Dispatcher) tellRefusal(j *job, r refused) {
+	if r.best == nil {
+		return
+	}
+	d.Log.Info("refusal", "id", j.meta.ID, "route", j.route.Name, "server", r.best.server.ID, "queue", r.best.estimate.Queue,
+		"expectedMillis", r.best.estimate.Completion.Milliseconds(), "isResting", r.best.estimate.IsResting, "isReturn", j.isReturn,
+		"targetLeftMillis", time.Until(j.target).Milliseconds(), "leftMillis", time.Until(j.deadline).Milliseconds(),
+		"retryAfterMillis", r.pause.Milliseconds(), "view", r.best.viewAge)
+}
+
 // mayRepeat draws on the shared budget. What was not run at all is more worth
 // a repeat than what failed, which may fail again.
 func (d *Dispatcher) mayRepeat(j *job) bool {
