--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -99,7 +99,7 @@
 		return nil, refused{reason: ReasonNoServer, pause: noServerPause}
 	case best == nil:
 		return nil, refused{reason: ReasonOverload, pause: soonest / 2}
-	case d.isTooLate(j, best.estimate.Completion, now):
+	case d.isTooLate(j, best, now):
 		return nil, refused{ReasonOverload, d.roomPause(j, best.estimate.Completion, now), best}
 	}
 	if !d.takePace(s, best.server, now) {
@@ -160,8 +160,9 @@
 	return pace.Share(d.Self, server.ID, names, bears)
 }
 
-// chooseOwner takes the owner of the key. If there is none it waits for a newer
-// map, as long as the answer could still come within the latency objective.
+// chooseOwner takes the owner of the key. While keys change hands it waits for a
+// newer map, at most for the latency objective: a client that is sent away would
+// have to come back into the same wait.
 func (d *Dispatcher) chooseOwner(ctx context.Context, j *job) (*choice, refused) {
 	for {
 		s := d.View.Snapshot()
@@ -170,7 +171,7 @@
 		if c != nil {
 			return d.admitOwner(s, j, c, now)
 		}
-		left := j.target.Sub(now) - d.Estimator.Work(j.route.Name)
+		left := min(j.target.Sub(now), j.deadline.Sub(now)-2*d.Estimator.Work(j.route.Name))
 		if !isComing || left <= 0 {
 			return nil, refused{reason: ReasonNoOwner, pause: noOwnerPause}
 		}
@@ -216,17 +217,22 @@
 // can run the request.
 func (d *Dispatcher) admitOwner(s *view.Snapshot, j *job, c *choice, now time.Time) (*choice, refused) {
 	isFull := c.estimate.Queue >= queueFactor*float64(c.server.Slots)
-	if d.isTooLate(j, c.estimate.Completion, now) || isFull || c.estimate.IsResting || !d.takePace(s, c.server, now) {
+	if d.isTooLate(j, c, now) || isFull || c.estimate.IsResting || !d.takePace(s, c.server, now) {
 		return nil, refused{ReasonOverload, d.roomPause(j, c.estimate.Completion, now), c}
 	}
 	return c, refused{}
 }
 
 // isTooLate decides who is served under overload. A request that comes for the
-// first time is refused if it could not be answered within the latency
-// objective: serving it late would make all that follow late too. Whoever was
-// refused before has no further try, and is served while it can be in time.
-func (d *Dispatcher) isTooLate(j *job, completion time.Duration, now time.Time) bool {
+// first time is refused if the queue would keep it beyond the latency objective:
+// serving it late would make all that follow late too. Whoever was refused before
+// has no further try, and is served while it can be in time. A free slot is never
+// refused: what is slow at the moment may not stay so, and nobody is kept waiting.
+func (d *Dispatcher) isTooLate(j *job, c *choice, now time.Time) bool {
+	if c.estimate.Queue < float64(c.server.Slots) {
+		return false
+	}
+	completion := c.estimate.Completion
 	if now.Add(time.Duration(float64(completion) * deadlineShare)).After(j.deadline) {
 		return true
 	}
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -288,3 +288,12 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// Load: a server that is slow for a moment and has a free slot. Nobody else wants
+// the slot, and the moment may pass: the request is served.
+func TestFreeSlotIsNeverRefused(t *testing.T) {
+	w := newWorld(func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil })
+	slow := redwingstall.ServerLoad{Running: 1, Slots: 4, Slowdown: 8}
+	w.dispatcher.Estimator.Learn(time.Now(), "peer", []placement.Report{{Server: "k1", InFlight: 1, Factor: 2, Load: slow, HasLoad: true}})
+	require.Equal(t, 200, w.ask(t.Context(), "/keyed/x", "Shard-Key", "5").Status)
+}
