--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,13 @@
 # make demo      the whole path on loopback, as separate processes
 # make test      formatter, linter, vet and every test
 # make explore   a longer search for failures of the ownership rules
+# make soak      faults on real processes: FIRST seed, SEEDS, SECONDS each
 # make bench     the measurements of docs/MEASUREMENTS.md
 # make capacity  the slopes of docs/CAPACITY.md
 
 GO ?= go
 
-.PHONY: build demo test lint unit explore bench capacity plots generate fuzz
+.PHONY: build demo test lint unit explore soak bench capacity plots generate fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -28,6 +29,13 @@
 explore:
 	EXPLORE=1 $(GO) test ./test/ownership -run "TestOwnership$$" -rapid.checks=20000 -timeout 60m
 
+FIRST ?= 1
+SEEDS ?= 5
+SECONDS ?= 20
+
+soak:
+	SOAK_FIRST=$(FIRST) SOAK_SEEDS=$(SEEDS) SOAK_SECONDS=$(SECONDS) SOAK_FOLDER=$${SOAK_FOLDER:-$$(mktemp -d)} $(GO) test ./internal/soak -run TestSoak -v -count=1 -timeout 120m
+
 # The machine should be idle for these.
 bench: build
 	./scripts/measure/path.sh
--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -98,7 +98,6 @@
 	// idleSince and idleFor bound the reuse.
 	idleSince time.Time
 	idleFor   time.Duration
-	reused    bool
 }
 
 // NewPool returns an empty pool that counts why connections are opened and closed.
@@ -141,7 +140,6 @@
 		s.idle = s.idle[:len(s.idle)-1]
 		if c.isReusable(time.Now()) {
 			p.mu.Unlock()
-			c.reused = true
 			return c, nil
 		}
 		s.open--
--- a/internal/entry/callers/callers_test.go
+++ b/internal/entry/callers/callers_test.go
@@ -54,10 +54,11 @@
 	t.Helper()
 	e := &echo{}
 	s, err := NewServer("127.0.0.1:0", Config{
-		Handler: e,
-		Limits:  func() redwingstall.CallerLimits { return limits },
-		Count:   func(string) {},
-		Log:     slog.New(slog.DiscardHandler),
+		Handler:     e,
+		Limits:      func() redwingstall.CallerLimits { return limits },
+		Count:       func(string) {},
+		MaxBuffered: 1 << 20,
+		Log:         slog.New(slog.DiscardHandler),
 	})
 	require.NoError(t, err)
 	go s.Run()
@@ -176,6 +177,20 @@
 	}
 }
 
+// Load: more and larger bodies than there is memory for. They are refused as not
+// run before they are read.
+func TestBodiesBeyondTheMemoryAreRefused(t *testing.T) {
+	s, e := start(t, defaultLimits)
+	c, r := dial(t, s)
+	_, err := io.WriteString(c, "POST /big HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\n")
+	require.NoError(t, err)
+	status, _, _ := answer(t, r)
+	require.Equal(t, 503, status)
+	seen, _ := e.count()
+	require.Zero(t, seen)
+	require.Zero(t, s.buffered.Load())
+}
+
 func TestSlowHeaderIsAnswered408(t *testing.T) {
 	limits := defaultLimits
 	limits.HeaderTimeout = 50 * time.Millisecond
--- a/internal/entry/callers/chunks.go
+++ b/internal/entry/callers/chunks.go
@@ -13,7 +13,7 @@
 
 // readChunked decodes a chunked body. net/http's decoder reads ahead of the
 // body's end, and what it read would be lost to the next request.
-func readChunked(reader *bufio.Reader, limit int64) ([]byte, bool, error) {
+func readChunked(reader *bufio.Reader, limit int64, memory room) ([]byte, bool, error) {
 	body := []byte{}
 	for {
 		size, err := readChunkSize(reader)
@@ -26,6 +26,9 @@
 		if int64(len(body))+size > limit {
 			return nil, true, &statusError{http.StatusRequestEntityTooLarge, "body too large"}
 		}
+		if !memory.reserve(size) {
+			return nil, true, errNoRoom
+		}
 		start := len(body)
 		body = append(body, make([]byte, size)...)
 		if _, err := io.ReadFull(reader, body[start:]); err != nil {
--- a/internal/entry/callers/connection.go
+++ b/internal/entry/callers/connection.go
@@ -104,12 +104,15 @@
 			return true
 		}
 		_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
-		body, hasBody, err := readBody(c.reader, head, limits.BodyBytes)
+		held := &reservation{server: c.server}
+		body, hasBody, err := readBody(c.reader, head, limits.BodyBytes, held)
 		if err != nil {
+			held.release()
 			return c.reject(err)
 		}
 		arrived := time.Now()
 		if !isRepeatable(head.Method) && !wait(last, closed) {
+			held.release()
 			return true
 		}
 		next := &slot{request: head, isLast: head.Close, ready: make(chan struct{}), written: make(chan struct{})}
@@ -118,11 +121,13 @@
 		select {
 		case c.slots <- next:
 		case <-closed:
+			held.release()
 			return true
 		}
 		last = next
 		go func() {
 			defer close(next.ready)
+			defer held.release()
 			next.answer = c.server.config.Handler.Serve(ctx, toRequest(head, body, hasBody, arrived))
 		}()
 		if next.isLast {
--- a/internal/entry/callers/parse.go
+++ b/internal/entry/callers/parse.go
@@ -93,13 +93,23 @@
 	return nil
 }
 
+// room is what the bodies of all connections may take.
+type room interface {
+	// reserve reports whether there is room for so many more bytes, and takes it.
+	reserve(bytes int64) bool
+}
+
+var errNoRoom = &statusError{http.StatusServiceUnavailable, "no memory for the body"}
+
 // readBody reads a body of the framing that the header names.
-func readBody(reader *bufio.Reader, request *http.Request, limit int64) (body []byte, hasBody bool, err error) {
+func readBody(reader *bufio.Reader, request *http.Request, limit int64, memory room) (body []byte, hasBody bool, err error) {
 	switch {
 	case len(request.TransferEncoding) > 0:
-		return readChunked(reader, limit)
+		return readChunked(reader, limit, memory)
 	case request.ContentLength > limit:
 		return nil, true, &statusError{http.StatusRequestEntityTooLarge, "body too large"}
+	case !memory.reserve(max(request.ContentLength, 0)):
+		return nil, true, errNoRoom
 	case request.ContentLength > 0:
 		body = make([]byte, request.ContentLength)
 		_, err = io.ReadFull(reader, body)
--- a/internal/entry/callers/server.go
+++ b/internal/entry/callers/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,8 +29,10 @@
 	Handler Handler
 	// Limits as the configuration in force has them, or defaults.
 	Limits func() redwingstall.CallerLimits
-	Count  func(name string)
-	Log    *slog.Logger
+	// MaxBuffered bounds the bytes of all bodies that are held at one time.
+	MaxBuffered int64
+	Count       func(name string)
+	Log         *slog.Logger
 }
 
 // Server accepts the connections of clients.
@@ -39,6 +42,9 @@
 	done     chan struct{}
 	running  sync.WaitGroup
 
+	// buffered is the bytes of the bodies that are held.
+	buffered atomic.Int64
+
 	mu          sync.Mutex
 	connections map[*connection]bool
 	isLeaving   bool
@@ -88,6 +94,23 @@
 	s.running.Wait()
 }
 
+// reservation is the room that one request's body takes.
+type reservation struct {
+	server *Server
+	bytes  int64
+}
+
+func (r *reservation) reserve(bytes int64) bool {
+	if r.server.buffered.Add(bytes) > r.server.config.MaxBuffered {
+		r.server.buffered.Add(-bytes)
+		return false
+	}
+	r.bytes += bytes
+	return true
+}
+
+func (r *reservation) release() { r.server.buffered.Add(-r.bytes) }
+
 // Leave makes every answer from now on the last one of its connection.
 func (s *Server) Leave() {
 	s.mu.Lock()
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -93,6 +93,8 @@
 		Limits:  func() redwingstall.CallerLimits { return callers.LimitsOf(g.view.Snapshot().Config) },
 		Count:   g.metrics.Count,
 		Log:     log,
+		// Answers and the rest of the process need the other three quarters.
+		MaxBuffered: node.MemoryBytes / 4,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/node/settings/settings.go
+++ b/internal/node/settings/settings.go
@@ -33,10 +33,7 @@
 	Store         string
 	// MemoryBytes above which the platform kills the process.
 	MemoryBytes int64
-	MaxFiles    int
 	LinkMbps    float64
-	Heartbeat   time.Duration
-	MinLease    time.Duration
 	Bounds      Bounds
 }
 
--- a/internal/ownership/assign/level_test.go
+++ b/internal/ownership/assign/level_test.go
@@ -40,12 +40,17 @@
 		addresses[id] = id
 	}
 	for now := from; now < to; now += 50 * time.Millisecond {
-		for _, o := range a.Orders(now, world, addresses) {
-			a.Done(now, o, Result{Handover: "h"})
-		}
-		if draft, changed := a.Plan(now, world); changed {
-			a.Adopt(draft)
-		}
+		tick(a, now, world, addresses, Result{Handover: "h"})
+	}
+}
+
+// tick lets every order end alike, and stores what is planned.
+func tick(a *Assigner, now time.Duration, world World, addresses map[string]string, result Result) {
+	for _, o := range a.Orders(now, world, addresses) {
+		a.Done(now, o, result)
+	}
+	if draft, changed := a.Plan(now, world); changed {
+		a.Adopt(draft)
 	}
 }
 
@@ -150,12 +155,7 @@
 	addresses := map[string]string{lost.ID: lost.ID}
 	freeAt := time.Duration(0)
 	for now := 3 * time.Second; now < 20*time.Second && freeAt == 0; now += 50 * time.Millisecond {
-		for _, o := range a.Orders(now, world, addresses) {
-			a.Done(now, o, Result{IsSilent: true})
-		}
-		if draft, changed := a.Plan(now, world); changed {
-			a.Adopt(draft)
-		}
+		tick(a, now, world, addresses, Result{IsSilent: true})
 		if r, _ := a.Map().Find(0); r.State == shardmap.StateHeld && r.Owner != lost {
 			freeAt = now
 		}
@@ -172,12 +172,7 @@
 	delete(world.Servers, lost.ID)
 	addresses := map[string]string{lost.ID: lost.ID}
 	for now := 3 * time.Second; now < 3200*time.Millisecond; now += 50 * time.Millisecond {
-		for _, o := range a.Orders(now, world, addresses) {
-			a.Done(now, o, Result{IsSilent: true, IsReplaced: true})
-		}
-		if draft, changed := a.Plan(now, world); changed {
-			a.Adopt(draft)
-		}
+		tick(a, now, world, addresses, Result{IsSilent: true, IsReplaced: true})
 	}
 	r, _ := a.Map().Find(0)
 	require.NotEqual(t, lost, r.Owner)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -51,7 +51,7 @@
 	return s.backends[draw%len(s.backends)]
 }
 
-// replace takes a server out of the list of those that faults are drawn for.
+// take takes a server out of the list of those that faults are drawn for.
 func (s *Soak) take(b *backend) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -175,8 +175,13 @@
 }
 
 func (s *Soak) silenceServer(pause time.Duration, draw int) {
+	s.cutServer(pause, draw, false)
+}
+
+// cutServer holds back what goes to a server and comes from it, or answers only.
+func (s *Soak) cutServer(pause time.Duration, draw int, answersOnly bool) {
 	b := s.backendOf(draw)
-	b.proxy.set(true, false, 0)
+	b.proxy.set(!answersOnly, answersOnly, 0)
 	time.Sleep(pause)
 	b.proxy.reset()
 	s.ledger.Excuse(thawSlack)
@@ -184,12 +189,7 @@
 }
 
 func (s *Soak) oneWayServer(pause time.Duration, draw int) {
-	b := s.backendOf(draw)
-	b.proxy.set(false, true, 0)
-	time.Sleep(pause)
-	b.proxy.reset()
-	s.ledger.Excuse(thawSlack)
-	b.proxy.set(false, false, 0)
+	s.cutServer(pause, draw, true)
 }
 
 func (s *Soak) loseAnswers(pause time.Duration, draw int) {
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -207,7 +207,9 @@
 	if d.owners.isResting(now, j.service, j.meta.Key, server.ID) {
 		return nil, true
 	}
-	if !s.IsUsable(server) && now.Sub(d.leaving.since(now, server)) > d.DrainLimit {
+	if s.IsUsable(server) {
+		d.leaving.forget(server)
+	} else if now.Sub(d.leaving.since(now, server)) > d.DrainLimit {
 		return nil, true
 	}
 	return d.assess(s, j, server, now), true
@@ -283,6 +285,13 @@
 	return at
 }
 
+// forget ends the memory of a server that is usable again.
+func (l *leavingClock) forget(server *view.Server) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.seen, server.Process())
+}
+
 // ownerMisses remembers owners that did not hold a key. It spares them, and the
 // budget for repeats, until their grant has arrived.
 type ownerMisses struct {
