--- /dev/null
+++ b/internal/ownership/leader/leader_test.go
@@ -0,0 +1,148 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall/internal/fleet/follow"
+	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/boottime"
+	"github.com/redwingstall/redwingstall/internal/ownership/leader"
+	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
+	"github.com/redwingstall/redwingstall/platform"
+	"github.com/redwingstall/redwingstall/platform/platformtest"
+)
+
+// silence is a relay without other instances.
+type silence struct{}
+
+func (silence) Tell(follow.News)         {}
+func (silence) News() <-chan follow.News { return nil }
+
+// evenLoad measures nothing.
+type evenLoad struct{}
+
+func (evenLoad) KeyRates(string) []float32     { return nil }
+func (evenLoad) Capacity(*view.Server) float64 { return 20 }
+
+// candidate is one process that may lead.
+type candidate struct {
+	view   *view.View
+	leader *leader.Leader
+	stop   context.CancelFunc
+}
+
+type bench struct {
+	t      *testing.T
+	store  *platformtest.Store
+	http   *httptest.Server
+	ledger *platformtest.Ledger
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, store: platformtest.NewStore(), ledger: platformtest.NewLedger()}
+	b.http = httptest.NewServer(b.store)
+	t.Cleanup(b.http.Close)
+	b.store.Put(platform.ConfigurationKey, map[string]any{
+		"version": "r1",
+		"routes":  map[string]any{"columns": []string{}, "rows": [][]any{}},
+		"services": map[string]any{
+			"columns": []string{"name", "max_connections", "sharded"},
+			"rows":    [][]any{{"keyed", 100, true}},
+		},
+	})
+	return b
+}
+
+func (b *bench) server(n int) *platformtest.Server {
+	s, err := platformtest.NewServer(b.ledger, platformtest.Server{ID: fmt.Sprintf("s%d", n), Born: 1, Service: "keyed", FailureDomain: "a", Sharded: true, Slots: 4})
+	require.NoError(b.t, err)
+	b.t.Cleanup(s.Crash)
+	b.store.Put(platform.EntryPrefix+s.ID, s.Entry(s.Address(), "ready"))
+	return s
+}
+
+func (b *bench) candidate(name string) *candidate {
+	log := slog.New(slog.DiscardHandler)
+	store := platform.NewStore(strings.TrimPrefix(b.http.URL, "http://"))
+	c := &candidate{view: view.NewView(log, 2*time.Second)}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stop = cancel
+	c.leader = leader.NewLeader(leader.Parts{
+		Name: name, Store: store, Orders: platform.NewOrders(), View: c.view, Measures: evenLoad{},
+		Clock: boottime.Now, HoldMax: 10 * time.Second, Log: log,
+	})
+	follower := follow.NewFollower(name, store, platform.Decoder{}, c.view, silence{}, log)
+	go follower.Run(ctx)
+	go c.leader.Run(ctx)
+	b.t.Cleanup(func() {
+		cancel()
+		<-c.leader.Done()
+		<-follower.Done()
+	})
+	return c
+}
+
+// owners counts the keys of each owner, and those in between.
+func owners(c *candidate) map[string]int {
+	counts := map[string]int{}
+	for _, r := range c.view.Snapshot().Maps["keyed"].Ranges {
+		name := r.Owner.ID
+		if r.State != shardmap.StateHeld {
+			name = ""
+		}
+		counts[name] += r.Len()
+	}
+	return counts
+}
+
+// One of two leads and divides the keys; the keys of a server that leaves move;
+// after the leader has resigned the other goes on at once, and nobody has ever
+// seen two owners.
+func TestLeadersDivideMoveAndFollowEachOther(t *testing.T) {
+	b := newBench(t)
+	first := b.server(1)
+	b.server(2)
+	one, other := b.candidate("one"), b.candidate("other")
+	const within, poll = 8 * time.Second, 20 * time.Millisecond
+
+	require.Eventually(t, func() bool { return len(owners(one)) == 2 && owners(one)["s1"] > 0 }, within, poll)
+	require.NotEqual(t, one.leader.Leads(), other.leader.Leads(), "exactly one leads")
+
+	b.store.Put(platform.EntryPrefix+first.ID, first.Entry(first.Address(), "draining"))
+	require.Eventually(t, func() bool { return len(owners(one)) == 1 && owners(one)["s2"] > 0 }, within, poll)
+
+	leading, waiting := one, other
+	if other.leader.Leads() {
+		leading, waiting = other, one
+	}
+	leading.stop()
+	<-leading.leader.Done()
+	b.server(3)
+	resigned := time.Now()
+	require.Eventually(t, func() bool { return owners(waiting)["s3"] > 0 }, within, poll)
+	require.Less(t, time.Since(resigned), leader.Lease, "no wait for the lease of a leader that resigned")
+	require.True(t, waiting.leader.Leads())
+	require.Empty(t, b.ledger.Violations())
+}
+
+// The leader's record taken away early: it stops, and one leads again.
+func TestLeaderStopsWhenItsRecordIsTaken(t *testing.T) {
+	b := newBench(t)
+	b.server(1)
+	b.server(2)
+	one := b.candidate("one")
+	const within, poll = 10 * time.Second, 5 * time.Millisecond
+	require.Eventually(t, func() bool { return owners(one)["s1"] > 0 }, within, poll)
+	term := one.view.Snapshot().Maps["keyed"].Term
+	require.True(t, b.store.EndLeaseOf(view.LeaderKey))
+	require.Eventually(t, func() bool { return one.view.Snapshot().Maps["keyed"].Term > term }, within, poll, "led anew under a new term")
+	require.Empty(t, b.ledger.Violations())
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -96,6 +96,7 @@
 	}
 	faults.Wait()
 	s.settle()
+	s.leaveInCalm()
 	cancel()
 	clients.Wait()
 	s.checkPromises()
@@ -258,6 +259,13 @@
 	}
 }
 
+// leaveInCalm lets a server leave while nothing is wrong, when the bounds of the
+// platform hold in full.
+func (s *Soak) leaveInCalm() {
+	time.Sleep(drainBound + contact)
+	s.drainServer(0, s.random.IntN(1<<20))
+}
+
 // An instance has recovered when it serves this many of so many requests.
 const settledServes, settledTries = 15, 20
 
