--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -9,6 +9,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/platform/platformtest"
 )
 
 // client sends requests to one instance over kept connections and checks the
@@ -26,25 +29,28 @@
 	sawVersion map[int]int64
 }
 
-const patience = 1500 * time.Millisecond
+const (
+	patience = 1500 * time.Millisecond
+	noKey    = -1
+)
 
 func (c *client) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("%s-%d-%d", c.instance.name, c.number, n)
 		switch c.random.IntN(10) {
 		case 0, 1, 2:
-			c.ask(ctx, id, http.MethodPost, "/charge/x", "")
+			c.ask(ctx, id, http.MethodPost, "/charge/x", noKey)
 		case 3:
 			c.probeVersion(ctx, id)
 		default:
-			c.ask(ctx, id, http.MethodGet, "/keyed/x", fmt.Sprint(c.random.IntN(1<<16)))
+			c.ask(ctx, id, http.MethodGet, "/keyed/x", c.random.IntN(redwingstall.Keys))
 		}
 		time.Sleep(time.Duration(c.random.IntN(40)) * time.Millisecond)
 	}
 }
 
 // ask sends one request and checks what came of it.
-func (c *client) ask(ctx context.Context, id, method, path, key string) (status int) {
+func (c *client) ask(ctx context.Context, id, method, path string, key int) (status int) {
 	ctx, cancel := context.WithTimeout(ctx, patience+time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.instance.front()+path, strings.NewReader("body of "+id))
@@ -53,11 +59,7 @@
 		return 0
 	}
 	request.Host = "h"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Request-Deadline", fmt.Sprint(patience.Milliseconds()))
-	if key != "" {
-		request.Header.Set("Shard-Key", key)
-	}
+	platformtest.SetRequest(request.Header, id, patience, key)
 	answer, err := c.http.Do(request)
 	if err != nil {
 		return 0
@@ -86,7 +88,7 @@
 func (c *client) probeVersion(ctx context.Context, id string) {
 	version, since := c.soak.newestVersion()
 	generation := c.instance.generation()
-	status := c.ask(ctx, id, http.MethodGet, fmt.Sprintf("/version%d/x", version), "")
+	status := c.ask(ctx, id, http.MethodGet, fmt.Sprintf("/version%d/x", version), noKey)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if status == http.StatusOK {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -164,7 +164,7 @@
 	b.Crash()
 	b.proxy.close()
 	time.Sleep(pause)
-	s.store.Remove("servers/" + b.ID)
+	s.store.Unregister(b.Server)
 	s.replace(b.Service)
 }
 
@@ -202,7 +202,7 @@
 // loseEntry removes a living server's entry for a while.
 func (s *Soak) loseEntry(pause time.Duration, draw int) {
 	b := s.backendOf(draw)
-	s.store.Remove("servers/" + b.ID)
+	s.store.Unregister(b.Server)
 	time.Sleep(pause)
 	s.mu.Lock()
 	isListed := false
@@ -211,7 +211,7 @@
 	}
 	s.mu.Unlock()
 	if isListed {
-		s.store.Put("servers/"+b.ID, b.Entry(b.proxy.address(), "ready"))
+		s.store.Register(b.Server, b.proxy.address(), false)
 	}
 }
 
@@ -222,14 +222,14 @@
 	if !s.take(b) {
 		return
 	}
-	s.store.Put("servers/"+b.ID, b.Entry(b.proxy.address(), "draining"))
+	s.store.Register(b.Server, b.proxy.address(), true)
 	time.Sleep(drainBound)
 	if s.isCalm(drainBound + contact) {
 		b.MustBeIdleFrom(time.Now())
 	}
 	time.Sleep(time.Second)
 	b.MustBeIdleFrom(time.Time{})
-	s.store.Remove("servers/" + b.ID)
+	s.store.Unregister(b.Server)
 	b.Crash()
 	b.proxy.close()
 	s.replace(b.Service)
@@ -247,8 +247,8 @@
 func (s *Soak) newVersion(time.Duration, int) { s.configure() }
 
 func (s *Soak) evacuate(pause time.Duration, draw int) {
-	key := "op/evacuate/" + domains[draw%len(domains)]
-	s.store.Put(key, struct{}{})
+	domain := domains[draw%len(domains)]
+	s.store.Evacuate(domain, true)
 	time.Sleep(pause)
-	s.store.Remove(key)
+	s.store.Evacuate(domain, false)
 }
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/redwingstall/redwingstall/platform/platformtest"
 )
 
 // instance is one entry instance as a process of its own.
@@ -45,8 +47,7 @@
 		return nil
 	}
 	settings := filepath.Join(i.folder, i.name+".conf")
-	text := fmt.Sprintf("node=%s\nip=%s\nzone=%s\nlisten.front=%s\nlisten.ready=%s\ninternal_ports=%d,%d\nheartbeat_ms=500\nplatform.address=%s\n",
-		i.name, i.ip, i.domain, i.front(), i.ready(), peerPort, peerPort, i.store.address())
+	text := platformtest.Settings(i.name, i.ip, i.domain, i.front(), i.ready(), peerPort, i.store.address())
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/entry/callers"
 	"github.com/redwingstall/redwingstall/platform/platformtest"
 )
 
@@ -146,20 +148,23 @@
 	defer s.mu.Unlock()
 	s.version += 1 + int64(s.random.IntN(3))
 	s.since = time.Now()
-	route := func(name, kind, service string) []any {
-		return []any{name, "h", "/" + name + "/", kind, 1500, 600, 1, 2, service}
+	route := func(name string, kind redwingstall.RouteKind, service string) redwingstall.Route {
+		return redwingstall.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: patience, Target: patience / 2, Priority: 1,
+			MaxAttempts: 2, Parts: []redwingstall.RoutePart{{Service: service, Weight: 1}},
+		}
 	}
-	s.store.Put("op/config", map[string]any{
-		"version": fmt.Sprintf("r%d", s.version),
-		"routes": map[string]any{
-			"columns": []string{"name", "host", "prefix", "kind", "timeout_ms", "target_latency_ms", "priority", "max_attempts", "service"},
-			"rows":    [][]any{route("keyed", "safe", "keyed"), route("charge", "unsafe", "charges"), route(fmt.Sprintf("version%d", s.version), "safe", "charges")},
-		},
-		"services": map[string]any{
-			"columns": []string{"name", "health_path", "max_connections", "warmup_s", "warmup_per_s", "sharded"},
-			"rows":    [][]any{{"keyed", "/health", 200, 1.0, 50.0, true}, {"charges", "/health", 200, 1.0, 50.0, nil}},
+	service := func(name string, isSharded bool) redwingstall.ServiceSpec {
+		return redwingstall.ServiceSpec{Name: name, HealthPath: "/health", MaxConnections: 200, Warmup: time.Second, WarmupRate: 50, Sharded: isSharded}
+	}
+	s.store.Configure(redwingstall.Configuration{
+		Version: s.version,
+		Routes: []redwingstall.Route{
+			route("keyed", redwingstall.KindSafe, "keyed"), route("charge", redwingstall.KindUnsafe, "charges"),
+			route(fmt.Sprintf("version%d", s.version), redwingstall.KindSafe, "charges"),
 		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		Services: map[string]redwingstall.ServiceSpec{"keyed": service("keyed", true), "charges": service("charges", false)},
+		Limits:   callers.LimitsOf(nil),
 	})
 }
 
@@ -187,7 +192,7 @@
 		return err
 	}
 	b := &backend{Server: server, proxy: p, stop: make(chan struct{})}
-	s.store.Put("servers/"+id, server.Entry(p.address(), "ready"))
+	s.store.Register(server, p.address(), false)
 	s.mu.Lock()
 	s.backends = append(s.backends, b)
 	s.mu.Unlock()
@@ -248,7 +253,7 @@
 		for try := 0; served < settledServes && time.Now().Before(end); try++ {
 			served = 0
 			for k := range settledTries {
-				if c.ask(context.Background(), fmt.Sprintf("end-%d-%d-%d", n, try, k), http.MethodPost, "/charge/x", "") == http.StatusOK {
+				if c.ask(context.Background(), fmt.Sprintf("end-%d-%d-%d", n, try, k), http.MethodPost, "/charge/x", noKey) == http.StatusOK {
 					served++
 				}
 			}
