Health of servers told between instances; sums of failure domains through reporters

What it learned by itself (two failures in a row, its own queue) came too late or never, and what others knew came every 1.5 s from all to all. Ruled out: a shorter exchange of all with all (81 x 61 datagrams at a time). Change: two reporters a failure domain exchange its sums every 300 ms and pass on those of the others; reports carry attempts, failures and silence; a server that answers nobody rests; a reset at once fills the queue known; another failure domain costs 80 ms of expected time (8 before). A first request of a new route no longer resets the work of its whole service, by which capacities were eight times too high after each change of configuration.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -23,13 +23,14 @@
 const (
 	// fastest exchange; a request runs for 50 to 300 ms.
 	fastest = 100 * time.Millisecond
-	// nearPeer stretches the exchange inside a failure domain, and farPeer that
-	// with the others, whose bytes are priced: at 77 instances the far exchange
-	// comes every 1.5 s and costs an instance 8 KB/s.
+	// nearPeer stretches the exchange inside a failure domain.
 	nearPeer = 6 * time.Millisecond
-	farPeer  = 25 * time.Millisecond
-	// leastFar is how often all that is known of servers is told.
-	leastFar = 1500 * time.Millisecond
+	// domainEvery is how often the sums of a failure domain go to the others, whose
+	// links are priced: at 300 servers 6 KB to each reporter there.
+	domainEvery = 300 * time.Millisecond
+	// reporters of a failure domain send its sums and pass on those of the others;
+	// one may be lost.
+	reporters = 2
 	// farFrom is the number of far peers up to which all are treated as near.
 	farFrom = 12
 	// maxServers a datagram keeps it below the usual MTU.
@@ -48,6 +49,8 @@
 	Loads []serverLoad
 	Keys  map[string][]int
 	News  *follow.News
+	// Domain is set if the loads are the sums of a failure domain.
+	Domain string
 }
 
 // serverLoad is a [placement.Report] in few bytes.
@@ -62,6 +65,10 @@
 	Waiting         int
 	Slots           int
 	AgeMS           int
+	// AttemptTenths and FailureTenths are counts in tenths.
+	AttemptTenths int
+	FailureTenths int
+	SilenceMS     int
 }
 
 // KeySink takes the keys that other instances got requests for.
@@ -82,6 +89,9 @@
 	log       *slog.Logger
 	news      chan follow.News
 	done      chan struct{}
+	// named is the snapshot that shortNames were made from.
+	named      *view.Snapshot
+	shortNames map[uint32]string
 }
 
 var _ follow.Relay = (*Exchange)(nil)
@@ -142,17 +152,15 @@
 		defer close(received)
 		e.receive(ctx)
 	}()
-	sentFar := time.Time{}
+	summed := time.Time{}
 	for ctx.Err() == nil {
 		near, far := e.others()
 		now := time.Now()
-		targets := near
-		isFar := now.Sub(sentFar) >= max(time.Duration(len(far))*farPeer, leastFar)
-		if isFar {
-			targets = append(targets, far...)
-			sentFar = now
+		e.tellNear(now, near)
+		if targets := e.reportersOf(far); len(targets) > 0 && now.Sub(summed) >= domainEvery {
+			summed = now
+			e.tell(datagram{From: e.self.Name, Domain: e.self.FailureDomain}, e.estimator.DomainReports(now), targets)
 		}
-		e.exchange(now, targets, isFar)
 		timer := time.NewTimer(max(fastest, time.Duration(len(near))*nearPeer))
 		select {
 		case <-timer.C:
@@ -164,20 +172,16 @@
 	<-received
 }
 
-// others returns the peers that are told often, and those told more seldom.
-func (e *Exchange) others() (near, far []netip.AddrPort) {
+// others returns the peers that are told often, and those of other failure
+// domains that are told its sums.
+func (e *Exchange) others() (near, far []view.Peer) {
 	for _, p := range e.view.Snapshot().Peers {
-		if p.Name == e.self.Name {
-			continue
-		}
-		address, err := netip.ParseAddrPort(p.Address)
 		switch {
-		case err != nil:
-			e.log.Warn("peer address unreadable", "peer", p.Name, "address", p.Address)
+		case p.Name == e.self.Name:
 		case p.FailureDomain == e.self.FailureDomain:
-			near = append(near, address)
+			near = append(near, p)
 		default:
-			far = append(far, address)
+			far = append(far, p)
 		}
 	}
 	if len(far) <= farFrom {
@@ -186,32 +190,64 @@
 	return near, far
 }
 
-func (e *Exchange) exchange(now time.Time, peers []netip.AddrPort, isFar bool) {
-	keys := e.keys.TakeKeys()
-	if leader, found := e.leader(); found && len(keys) > 0 && !slices.Contains(peers, leader) {
-		// The leader moves keys by their load, and must not wait for it.
-		e.encode(datagram{From: e.self.Name, Keys: trim(keys)}, []netip.AddrPort{leader})
+// reportersOf returns the reporters of other failure domains that this instance
+// tells its own domain's sums to: those of its own rank.
+func (e *Exchange) reportersOf(far []view.Peer) []view.Peer {
+	rank, isReporter := e.reporterRank()
+	if !isReporter {
+		return nil
+	}
+	domains := map[string][]view.Peer{}
+	for _, p := range view.ByStrength(far) {
+		domains[p.FailureDomain] = append(domains[p.FailureDomain], p)
+	}
+	found := []view.Peer{}
+	for _, list := range domains {
+		found = append(found, list[min(rank, len(list)-1)])
+	}
+	return found
+}
+
+// reporterRank is the place of this instance among the strongest ones of its
+// failure domain, if it is one of its reporters.
+func (e *Exchange) reporterRank() (rank int, isReporter bool) {
+	for _, p := range view.ByStrength(e.view.Snapshot().Peers) {
+		switch {
+		case p.Name == e.self.Name:
+			return rank, rank < reporters
+		case p.FailureDomain == e.self.FailureDomain:
+			rank++
+		}
+	}
+	return 0, false
+}
+
+// tellNear tells what has changed here, and the leader which keys were asked
+// for: it moves keys by their load.
+func (e *Exchange) tellNear(now time.Time, near []view.Peer) {
+	keys := trim(e.keys.TakeKeys())
+	if leader, found := e.leader(); found && len(keys) > 0 && !slices.ContainsFunc(near, func(p view.Peer) bool { return p.Name == leader.Name }) {
+		e.encode(datagram{From: e.self.Name, Keys: keys}, []view.Peer{leader})
 	}
 	reports := e.estimator.Reports(now)
-	if isFar {
-		// Far peers learn the speed of servers, not what is in flight for a moment.
-		reports = e.estimator.AllReports(now)
+	if len(near) > 0 && len(reports)+len(keys) > 0 {
+		e.tell(datagram{From: e.self.Name, Keys: keys}, reports, near)
 	}
+}
+
+// tell sends reports in as many datagrams as they take; the first one carries
+// the rest of the message.
+func (e *Exchange) tell(message datagram, reports []placement.Report, peers []view.Peer) {
 	for first := true; first || len(reports) > 0; first = false {
 		n := min(len(reports), maxServers)
-		message := datagram{From: e.self.Name, Loads: shorten(reports[:n])}
-		if first {
-			message.Keys = trim(keys)
-		}
-		reports = reports[n:]
-		if len(peers) == 0 || len(message.Loads) == 0 && len(message.Keys) == 0 {
-			return
-		}
+		message.Loads = shorten(reports[:n])
 		e.encode(message, peers)
+		reports = reports[n:]
+		message.Keys = nil
 	}
 }
 
-func (e *Exchange) encode(message datagram, peers []netip.AddrPort) {
+func (e *Exchange) encode(message datagram, peers []view.Peer) {
 	text, err := cbor.Marshal(message)
 	if err != nil {
 		e.log.Error("datagram not encoded", "error", err.Error())
@@ -220,24 +256,28 @@
 	e.write(text, peers)
 }
 
-// leader is the address of the instance that moves keys, unless it is this one.
-func (e *Exchange) leader() (netip.AddrPort, bool) {
+// leader is the instance that moves keys, unless it is this one.
+func (e *Exchange) leader() (view.Peer, bool) {
 	s := e.view.Snapshot()
 	for _, p := range s.Peers {
 		if p.Name == string(s.Leader.Value) && p.Name != e.self.Name {
-			address, err := netip.ParseAddrPort(p.Address)
-			return address, err == nil
+			return p, true
 		}
 	}
-	return netip.AddrPort{}, false
+	return view.Peer{}, false
 }
 
 // write sends a datagram. One that is not sent is like one that is lost: the
 // next exchange carries newer counts.
-func (e *Exchange) write(text []byte, peers []netip.AddrPort) {
+func (e *Exchange) write(text []byte, peers []view.Peer) {
 	e.count("datagrams.bytes", int64(len(text)*len(peers)))
 	for _, p := range peers {
-		_, _ = e.socket.WriteToUDPAddrPort(text, p)
+		address, err := netip.ParseAddrPort(p.Address)
+		if err != nil {
+			e.log.Warn("peer address unreadable", "peer", p.Name, "address", p.Address)
+			continue
+		}
+		_, _ = e.socket.WriteToUDPAddrPort(text, address)
 	}
 }
 
@@ -257,7 +297,10 @@
 	return h.Sum32()
 }
 
-const percent = 100
+const (
+	percent = 100
+	tenths  = 10
+)
 
 func shorten(reports []placement.Report) []serverLoad {
 	short := make([]serverLoad, 0, len(reports))
@@ -267,6 +310,8 @@
 			s.Running, s.Waiting, s.Slots = r.Load.Running, r.Load.Waiting, r.Load.Slots
 			s.SlowdownPercent, s.AgeMS = int(r.Load.Slowdown*percent), int(r.Age.Milliseconds())
 		}
+		s.AttemptTenths, s.FailureTenths = int(r.Attempts*tenths), int(r.Failures*tenths)
+		s.SilenceMS = int(r.Silence.Milliseconds())
 		short = append(short, s)
 	}
 	return short
@@ -275,7 +320,7 @@
 func (e *Exchange) receive(ctx context.Context) {
 	buffer := make([]byte, maxBytes)
 	for ctx.Err() == nil {
-		n, _, err := e.socket.ReadFromUDPAddrPort(buffer)
+		n, sender, err := e.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				e.log.Warn("datagram not read", "error", err.Error())
@@ -288,11 +333,11 @@
 			e.log.Warn("datagram unreadable", "bytes", n, "error", err.Error())
 			continue
 		}
-		e.take(time.Now(), message)
+		e.take(time.Now(), message, buffer[:n], sender)
 	}
 }
 
-func (e *Exchange) take(now time.Time, message datagram) {
+func (e *Exchange) take(now time.Time, message datagram, raw []byte, sender netip.AddrPort) {
 	if message.News != nil {
 		select {
 		case e.news <- *message.News:
@@ -305,11 +350,40 @@
 	if len(message.Loads) == 0 {
 		return
 	}
-	names := map[uint32]string{}
-	for id := range e.view.Snapshot().ByID {
-		names[shortID(id)] = id
+	reports := lengthen(message.Loads, e.names())
+	if message.Domain == "" {
+		e.estimator.Learn(now, message.From, reports)
+		return
+	}
+	e.estimator.LearnDomain(now, message.Domain, reports)
+	if _, isReporter := e.reporterRank(); isReporter && e.isFrom(message.From, sender) {
+		near, _ := e.others()
+		e.write(raw, near)
+	}
+}
+
+// isFrom reports whether a datagram came from an instance itself, as against
+// one that passed it on.
+func (e *Exchange) isFrom(instance string, sender netip.AddrPort) bool {
+	for _, p := range e.view.Snapshot().Peers {
+		if p.Name == instance {
+			return p.Address == sender.String()
+		}
+	}
+	return false
+}
+
+// names returns the servers by their short ids. Only the receiver calls it.
+func (e *Exchange) names() map[uint32]string {
+	s := e.view.Snapshot()
+	if e.named == s {
+		return e.shortNames
+	}
+	e.named, e.shortNames = s, make(map[uint32]string, len(s.ByID))
+	for id := range s.ByID {
+		e.shortNames[shortID(id)] = id
 	}
-	e.estimator.Learn(now, message.From, lengthen(message.Loads, names))
+	return e.shortNames
 }
 
 func lengthen(loads []serverLoad, names map[uint32]string) []placement.Report {
@@ -323,6 +397,8 @@
 		r.Load.Running, r.Load.Waiting, r.Load.Slots = s.Running, s.Waiting, s.Slots
 		r.Load.Slowdown = float64(s.SlowdownPercent) / percent
 		r.Age = time.Duration(s.AgeMS) * time.Millisecond
+		r.Attempts, r.Failures = float64(s.AttemptTenths)/tenths, float64(s.FailureTenths)/tenths
+		r.Silence = time.Duration(s.SilenceMS) * time.Millisecond
 		reports = append(reports, r)
 	}
 	return reports
--- /dev/null
+++ b/internal/fleet/peers/peers_test.go
@@ -0,0 +1,93 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/settings"
+	"github.com/redwingstall/redwingstall/internal/routing/placement"
+)
+
+type noKeys struct{}
+
+func (noKeys) AddKeys(time.Time, string, []int) {}
+func (noKeys) TakeKeys() map[string][]int       { return nil }
+
+// fleet runs instances of two failure domains that know of one server.
+func fleet(t *testing.T, perDomain int) map[string]*placement.Estimator {
+	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	estimators := map[string]*placement.Estimator{}
+	exchanges := []*Exchange{}
+	events := []redwingstall.Event{redwingstall.EntryChanged{Entry: redwingstall.BackendEntry{ID: "s1", Service: "s", Slots: 4, Born: 1}}}
+	views := []*view.View{}
+	for _, domain := range []string{"a", "b"} {
+		for n := range perDomain {
+			name := fmt.Sprintf("%s%02d", domain, n)
+			v, e := view.NewView(log, 0), &placement.Estimator{}
+			x, err := NewExchange(settings.Node{Name: name, IP: "127.0.0.1", FailureDomain: domain}, v, e, noKeys{}, func(string, int64) {}, log)
+			require.NoError(t, err)
+			estimators[name] = e
+			views = append(views, v)
+			exchanges = append(exchanges, x)
+			record, err := view.PeerRecord(x.Self())
+			require.NoError(t, err)
+			events = append(events, redwingstall.RecordChanged{Change: redwingstall.Change{Item: record}})
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	for i, x := range exchanges {
+		views[i].Apply(time.Now(), events, false)
+		go x.Run(ctx)
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, x := range exchanges {
+			<-x.Done()
+		}
+	})
+	return estimators
+}
+
+// Load: many instances in two failure domains. What one has in flight is known in
+// its own domain by itself and in the other one through the reporters.
+func TestLoadCrossesFailureDomainsThroughReporters(t *testing.T) {
+	const perDomain = farFrom + 2
+	estimators := fleet(t, perDomain)
+	for range 3 {
+		estimators["a13"].Begin(time.Now(), "s1")
+	}
+	for name, e := range estimators {
+		require.Eventually(t, func() bool {
+			return e.Estimate(time.Now(), "r", placement.Candidate{ID: "s1", Slots: 4}).Queue == 3
+		}, 10*time.Second, 20*time.Millisecond, name)
+	}
+}
+
+func TestReportersAreTheStrongestOfADomain(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	v := view.NewView(log, 0)
+	for _, p := range []view.Peer{
+		{Name: "weak", FailureDomain: "a", LinkMbps: 10}, {Name: "strong", FailureDomain: "a", LinkMbps: 200},
+		{Name: "middle", FailureDomain: "a", LinkMbps: 100}, {Name: "other", FailureDomain: "b", LinkMbps: 500},
+	} {
+		record, err := view.PeerRecord(p)
+		require.NoError(t, err)
+		v.Apply(time.Now(), []redwingstall.Event{redwingstall.RecordChanged{Change: redwingstall.Change{Item: record}}}, false)
+	}
+	for name, want := range map[string]int{"strong": 0, "middle": 1, "weak": -1} {
+		e := &Exchange{self: view.Peer{Name: name, FailureDomain: "a"}, view: v}
+		rank, isReporter := e.reporterRank()
+		require.Equal(t, want >= 0, isReporter, name)
+		if isReporter {
+			require.Equal(t, want, rank, name)
+		}
+	}
+}
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -22,51 +22,28 @@
 	// reportAge is how fast a reported slowdown or queue loses its weight;
 	// neighbors come and go several times a second.
 	reportAge = 300 * time.Millisecond
-	// peerAge is how long another instance's counts are taken as they are.
-	peerAge = 1500 * time.Millisecond
+
+	// fullQueue times the slots is taken to wait at a server that resets.
+	fullQueue = 4
 	// presetWork is assumed for a route before its first answers.
 	presetWork = 150 * time.Millisecond
 	// minFactor and maxFactor bound how much faster or slower than the others
 	// one server is taken to be.
 	minFactor, maxFactor = 0.3, 12.0
-	// failuresToRest is how many failures in a row make a server rest.
-	failuresToRest = 2
-	// restFor doubles with each further failure, up to maxRest.
-	restFor = 300 * time.Millisecond
-	maxRest = 2400 * time.Millisecond
 )
 
-// Report is what one instance tells the others about a server.
-type Report struct {
-	Server string
-	// InFlight requests of that instance at the server.
-	InFlight int
-	// Factor is how slow the server is against the usual time.
-	Factor float64
-	// Load as last seen on an answer, and its age.
-	Load    redwingstall.ServerLoad
-	HasLoad bool
-	Age     time.Duration
-}
-
 type state struct {
 	inFlight int
 	// samples is the number of answers that the factor rests on.
-	samples  int
-	factor   float64
-	load     redwingstall.ServerLoad
-	loadAt   time.Time
-	failures int
-	restTill time.Time
-	peers    map[string]peerCount
+	samples int
+	factor  float64
+	load    redwingstall.ServerLoad
+	loadAt  time.Time
+	health  health
 	// told is set while the state has news for the other instances.
 	told bool
-}
-
-type peerCount struct {
-	inFlight int
-	factor   float64
-	at       time.Time
+	// sources are other instances, and failure domains as a whole.
+	sources map[string]heard
 }
 
 // Estimator holds what is known of all servers. It is safe for concurrent use.
@@ -93,7 +70,7 @@
 	}
 	s := e.servers[id]
 	if s == nil {
-		s = &state{factor: 1, peers: map[string]peerCount{}}
+		s = &state{factor: 1, sources: map[string]heard{}}
 		e.servers[id] = s
 	}
 	return s
@@ -112,8 +89,11 @@
 	Queue float64
 	// Completion from now.
 	Completion time.Duration
-	// IsResting is set after failures in a row.
+	// IsResting is set after failures in a row, and while the server answers
+	// nobody.
 	IsResting bool
+	// FailureRate is the share of recent attempts, of all instances, that failed.
+	FailureRate float64
 }
 
 // Estimate tells when a server would complete a request of a route.
@@ -131,10 +111,12 @@
 		slowdown = 1
 	}
 	rounds := max(1, (queue+1)/float64(max(c.Slots, 1)))
+	completion := time.Duration(float64(work) * s.factorNow(now) * slowdown * rounds)
 	return Estimate{
-		Queue:      queue,
-		Completion: time.Duration(float64(work) * s.factorNow(now) * slowdown * rounds),
-		IsResting:  now.Before(s.restTill),
+		Queue:       queue,
+		Completion:  completion,
+		IsResting:   s.health.isResting(now) || s.isSilent(now, completion),
+		FailureRate: s.failureRate(now),
 	}
 }
 
@@ -146,9 +128,9 @@
 // fresh, what the server reported.
 func (s *state) queue(now time.Time) float64 {
 	sum := float64(s.inFlight)
-	for _, p := range s.peers {
-		if now.Sub(p.at) < peerAge {
-			sum += float64(p.inFlight)
+	for _, t := range s.sources {
+		if t.isFresh(now) {
+			sum += float64(t.InFlight)
 		}
 	}
 	reported := float64(s.load.Running+s.load.Waiting) * weightOf(now.Sub(s.loadAt))
@@ -158,9 +140,9 @@
 // factorNow joins the own average with those of other instances.
 func (s *state) factorNow(now time.Time) float64 {
 	sum, n := s.factor*min(float64(s.samples), 10)+0.5, min(float64(s.samples), 10)+0.5
-	for _, p := range s.peers {
-		if now.Sub(p.at) < peerAge && p.factor > 0 {
-			sum += p.factor
+	for _, t := range s.sources {
+		if t.isFresh(now) && t.Factor > 0 {
+			sum += t.Factor
 			n++
 		}
 	}
@@ -168,12 +150,13 @@
 }
 
 // Begin counts a request that is sent to a server.
-func (e *Estimator) Begin(id string) {
+func (e *Estimator) Begin(now time.Time, id string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.state(id)
 	s.inFlight++
 	s.told = true
+	s.health.begin(now)
 }
 
 // End notes how a request ended that found a queue before it.
@@ -186,19 +169,18 @@
 	if outcome.HasLoad {
 		s.load, s.loadAt = outcome.Load, now
 	}
+	s.health.end(now, outcome, s.inFlight)
 	switch outcome.Kind {
 	case Served:
-		s.failures = 0
 		e.learn(s, route, outcome, c)
 	case Failed:
-		s.failures++
-		if s.failures >= failuresToRest {
-			s.restTill = now.Add(min(restFor<<min(s.failures-failuresToRest, 4), maxRest))
+		if outcome.IsFull {
+			s.fill(now, c)
 		}
 	case Slow:
 		// Canceled after this time: the server is at least as slow as that.
 		e.learnSlow(s, route, outcome)
-	case Neutral:
+	case Shed, Neutral:
 	}
 }
 
@@ -215,6 +197,8 @@
 	Failed
 	// Slow was given up before the answer.
 	Slow
+	// Shed is the server's word that it did not run the request.
+	Shed
 )
 
 // Outcome of an attempt.
@@ -228,6 +212,17 @@
 	HasLoad bool
 	// Bytes of the answer.
 	Bytes int
+	// IsAnswered is set if the server sent anything.
+	IsAnswered bool
+	// IsFull is a connection that was reset at once, as servers do whose queue
+	// is full.
+	IsFull bool
+}
+
+// fill notes that a server's queue is full, until its answers say otherwise.
+func (s *state) fill(now time.Time, c Candidate) {
+	s.load.Running, s.load.Waiting = c.Slots, max(s.load.Waiting, fullQueue*c.Slots)
+	s.loadAt = now
 }
 
 func (e *Estimator) learn(s *state, route string, o Outcome, c Candidate) {
@@ -237,7 +232,9 @@
 	work := e.work[route]
 	if work == 0 {
 		e.work[route] = time.Duration(alone)
-		e.byService[c.Service] = time.Duration(alone)
+		if e.byService[c.Service] == 0 {
+			e.byService[c.Service] = time.Duration(alone)
+		}
 		return
 	}
 	sample := min(max(alone/float64(work), minFactor), maxFactor)
@@ -280,51 +277,6 @@
 	return e.state(id).factorNow(now)
 }
 
-// Reports returns what has changed since the last call, and every server with
-// requests in flight.
-func (e *Estimator) Reports(now time.Time) []Report {
-	return e.reports(now, func(s *state) bool {
-		isNews := s.told || s.inFlight > 0
-		s.told = false
-		return isNews
-	})
-}
-
-// AllReports returns every server that this instance has sent requests to.
-func (e *Estimator) AllReports(now time.Time) []Report {
-	return e.reports(now, func(s *state) bool { return s.samples > 0 })
-}
-
-func (e *Estimator) reports(now time.Time, isWanted func(*state) bool) []Report {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	reports := []Report{}
-	for id, s := range e.servers {
-		if !isWanted(s) {
-			continue
-		}
-		age := now.Sub(s.loadAt)
-		reports = append(reports, Report{
-			Server: id, InFlight: s.inFlight, Factor: s.factor,
-			Load: s.load, HasLoad: age < time.Second, Age: age,
-		})
-	}
-	return reports
-}
-
-// Learn takes over what another instance reports.
-func (e *Estimator) Learn(now time.Time, peer string, reports []Report) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, r := range reports {
-		s := e.state(r.Server)
-		s.peers[peer] = peerCount{r.InFlight, r.Factor, now}
-		if seen := now.Add(-r.Age); r.HasLoad && seen.After(s.loadAt) {
-			s.load, s.loadAt = r.Load, seen
-		}
-	}
-}
-
 // Forget drops servers that are not listed any more.
 func (e *Estimator) Forget(isListed func(id string) bool) {
 	e.mu.Lock()
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -16,8 +16,9 @@
 	// queue is shared by all instances and some reset what does not fit.
 	queueFactor = 3.0
 	// farMessage is what another failure domain costs a request: a round trip of
-	// 2 ms and the bytes of its headers.
-	farMessage = 8 * time.Millisecond
+	// 2 ms, the bytes of its headers, often a new connection, and a queue that is
+	// known less well than those nearby.
+	farMessage = 80 * time.Millisecond
 	// farKilobyte is what each kilobyte of an answer from another failure domain
 	// is taken to cost, since links between them are the dearest: an answer of
 	// 90 KB goes there if it comes 130 ms sooner.
@@ -135,9 +136,22 @@
 	if !d.Backends.HasIdle(c.server.ID, c.server.Address) {
 		cost += float64(connectCost)
 	}
-	return cost * (1 + noise*d.Random())
+	return cost*(1+noise*d.Random()) + c.estimate.FailureRate*float64(d.failureCost(j))
 }
 
+// failureCost is what a failed attempt costs: the time for another one, or the
+// whole request where it may not be sent again.
+func (d *Dispatcher) failureCost(j *job) time.Duration {
+	if j.route.Kind.Idempotent() {
+		return j.route.Target
+	}
+	return unsafeFailure * j.route.Target
+}
+
+// unsafeFailure times the latency objective is what a failure of a request costs
+// that is not sent again.
+const unsafeFailure = 3
+
 // isOpen reports whether a cold server bears a request of this instance now.
 func (d *Dispatcher) isOpen(s *view.Snapshot, server *view.Server, now time.Time) bool {
 	return !server.IsCold(now) || d.Pace.IsOpen(now, server.ID, d.coldShare(s, server))
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -233,7 +233,7 @@
 	header := backends.Forwardable(j.request.Header)
 	began := time.Now()
 	d.Protocol.Attempt(header, server.ID, j.deadline.Sub(began))
-	d.Estimator.Begin(server.ID)
+	d.Estimator.Begin(began, server.ID)
 	answer, err := d.Backends.Do(ctx, server.ID, server.Address, c.connections, backends.Request{
 		Method: j.request.Method, Target: j.request.Target, Host: j.request.Host,
 		Header: header, Body: j.request.Body, HasBody: j.request.HasBody, ID: j.meta.ID,
@@ -242,7 +242,7 @@
 	verdict := judge(answer, err, ctx.Err() != nil)
 	d.Estimator.End(time.Now(), j.route.Name, c.candidate(), placement.Outcome{
 		Kind: verdict.teaches, Took: took, Queue: c.estimate.Queue, Load: answer.Meta.Load, HasLoad: answer.Meta.HasLoad,
-		Bytes: len(answer.Body),
+		Bytes: len(answer.Body), IsAnswered: err == nil, IsFull: verdict.isReset && took < fullReset,
 	})
 	d.Counter.Count("attempts." + verdict.name)
 	if server.FailureDomain != d.FailureDomain {
@@ -266,6 +266,11 @@
 	return &answer, verdict.isFinal
 }
 
+// fullReset is within what a server takes to turn away a request that its queue
+// has no place for, over a round trip between failure domains and a new
+// connection.
+const fullReset = 25 * time.Millisecond
+
 // isWorthRepeating reports whether a server's failure may be asked for again.
 func (d *Dispatcher) isWorthRepeating(j *job) bool {
 	left := time.Until(j.deadline)
--- a/internal/traffic/dispatch/verdict.go
+++ b/internal/traffic/dispatch/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,7 +21,9 @@
 	// isMisdirected is a server that does not own the key, or another server.
 	isMisdirected bool
 	mayHaveRun    bool
-	teaches       placement.OutcomeKind
+	// isReset is a connection that the server reset before an answer.
+	isReset bool
+	teaches placement.OutcomeKind
 }
 
 // judge reads the outcome of an attempt. Only a server that says so has not run
@@ -37,13 +40,13 @@
 	case err != nil && isOver:
 		return verdict{name: "abandoned", mayHaveRun: true, teaches: placement.Slow}
 	case err != nil:
-		return verdict{name: "noAnswer", mayHaveRun: true, teaches: placement.Failed}
+		return verdict{name: "noAnswer", mayHaveRun: true, isReset: errors.Is(err, syscall.ECONNRESET), teaches: placement.Failed}
 	case answer.Meta.NotExecuted && answer.Status == http.StatusMisdirectedRequest:
 		return verdict{name: "misdirected", isMisdirected: true}
 	case answer.Status == http.StatusMisdirectedRequest && !answer.Meta.IsSigned:
 		return verdict{name: "misdirected", isMisdirected: true}
 	case answer.Meta.NotExecuted:
-		return verdict{name: "shed"}
+		return verdict{name: "shed", teaches: placement.Shed}
 	case answer.Header.Get("Content-Encoding") != "":
 		return verdict{name: "encoded", mayHaveRun: true, teaches: placement.Failed}
 	case !answer.Meta.IsSigned && answer.Status < http.StatusBadRequest:
