--- a/internal/ownership/assign/level.go
+++ b/internal/ownership/assign/level.go
@@ -12,7 +12,7 @@
 
 const (
 	// levelEvery lets the rates settle after a move.
-	levelEvery = 300 * time.Millisecond
+	levelEvery = 600 * time.Millisecond
 	// leastMoves at one time, or a share of the servers where that is more; each
 	// keeps its keys from being served for as long as the longest request that
 	// runs on them.
@@ -20,11 +20,16 @@
 	serversAMove = 2
 	// mostMoves bounds what the instances must be told at one time.
 	mostMoves = 16
-	// levelAbove is the utilization above which keys are moved away: below it a
-	// server of four slots hardly queues.
-	levelAbove = 0.4
-	// levelGap is how much more than the target the source must be used.
-	levelGap = 0.12
+	// levelAbove is the utilization above which keys are moved away. Moves below
+	// it cost more service than they gain: their keys wait for the work under way.
+	levelAbove = 0.75
+	// levelGap is how much more than the target the source must be used. Rates and
+	// speeds that are measured over a second differ by a fifth without a cause.
+	levelGap = 0.3
+	// nearlyFull is the utilization from which queues grow without bound in a
+	// burst, and nearlyFullGap what is enough of a difference then.
+	nearlyFull    = 0.9
+	nearlyFullGap = 0.12
 	// leastRate of a move, in requests a second; moving less is not noticed.
 	leastRate = 0.4
 )
@@ -151,7 +156,7 @@
 	isIdle := c.load[least.ID] == 0 // a server that has just joined
 	for _, most := range byUse[:len(byUse)-1] {
 		from, to := c.utilization(most.ID, 0), c.utilization(least.ID, 0)
-		if !isIdle && (from-to < levelGap || from < levelAbove) {
+		if !isIdle && !isWorthLeveling(from, to) {
 			return false
 		}
 		if a.move(draft, c, most, least, isIdle) {
@@ -161,6 +166,15 @@
 	return false
 }
 
+// isWorthLeveling reports whether keys should move from a server that is used so
+// much to one that is used so little.
+func isWorthLeveling(from, to float64) bool {
+	if from >= nearlyFull {
+		return from-to >= nearlyFullGap
+	}
+	return from >= levelAbove && from-to >= levelGap
+}
+
 // move takes keys from one server for another, so that both are used evenly.
 func (a *Assigner) move(draft *shardmap.Map, c *chooser, most, least shardmap.Server, isIdle bool) bool {
 	from, to := c.utilization(most.ID, 0), c.utilization(least.ID, 0)
