Leaving owners serve until their keys can be handed out; rates of keys known to every likely leader

Ruled out: slow releases (answered within 20 ms); servers gone (none at that time). Change: keys are not taken back from servers that only leave, nor leveled, before they can be handed out; since when a server leaves stands in the view instead of counting from an instance's first request to it; reporters tell the keys of their domain to those of the others; nearly full servers are leveled by ratio, since a fixed gap moved keys about among servers that were all overloaded. Request lines tell the expected time and the queue. Tests: assign (leaving servers, overloaded servers), peers (keys counted once).

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -89,6 +89,8 @@
 	log       *slog.Logger
 	news      chan follow.News
 	done      chan struct{}
+	// domainKeys are those of the instances nearby, for the other domains.
+	domainKeys keyBuffer
 	// named is the snapshot that shortNames were made from.
 	named      *view.Snapshot
 	shortNames map[uint32]string
@@ -159,7 +161,8 @@
 		e.tellNear(now, near)
 		if targets := e.reportersOf(far); len(targets) > 0 && now.Sub(summed) >= domainEvery {
 			summed = now
-			e.tell(datagram{From: e.self.Name, Domain: e.self.FailureDomain}, e.estimator.DomainReports(now), targets)
+			message := datagram{From: e.self.Name, Domain: e.self.FailureDomain, Keys: e.domainKeys.take()}
+			e.tell(message, e.estimator.DomainReports(now), targets)
 		}
 		timer := time.NewTimer(max(fastest, time.Duration(len(near))*nearPeer))
 		select {
@@ -193,7 +196,7 @@
 // reportersOf returns the reporters of other failure domains that this instance
 // tells its own domain's sums to: those of its own rank.
 func (e *Exchange) reportersOf(far []view.Peer) []view.Peer {
-	rank, isReporter := e.reporterRank()
+	rank, isReporter := e.reporterRank(e.self)
 	if !isReporter {
 		return nil
 	}
@@ -208,14 +211,14 @@
 	return found
 }
 
-// reporterRank is the place of this instance among the strongest ones of its
+// reporterRank is the place of an instance among the strongest ones of its
 // failure domain, if it is one of its reporters.
-func (e *Exchange) reporterRank() (rank int, isReporter bool) {
+func (e *Exchange) reporterRank(of view.Peer) (rank int, isReporter bool) {
 	for _, p := range view.ByStrength(e.view.Snapshot().Peers) {
 		switch {
-		case p.Name == e.self.Name:
+		case p.Name == of.Name:
 			return rank, rank < reporters
-		case p.FailureDomain == e.self.FailureDomain:
+		case p.FailureDomain == of.FailureDomain:
 			rank++
 		}
 	}
@@ -226,7 +229,8 @@
 // for: it moves keys by their load.
 func (e *Exchange) tellNear(now time.Time, near []view.Peer) {
 	keys := trim(e.keys.TakeKeys())
-	if leader, found := e.leader(); found && len(keys) > 0 && !slices.ContainsFunc(near, func(p view.Peer) bool { return p.Name == leader.Name }) {
+	e.domainKeys.add(keys)
+	if leader, found := e.leader(); found && len(keys) > 0 && !e.isHeard(leader, near) {
 		e.encode(datagram{From: e.self.Name, Keys: keys}, []view.Peer{leader})
 	}
 	reports := e.estimator.Reports(now)
@@ -235,6 +239,16 @@
 	}
 }
 
+// isHeard reports whether an instance learns the keys of this one anyway: it is
+// near, or a reporter of its failure domain.
+func (e *Exchange) isHeard(p view.Peer, near []view.Peer) bool {
+	if slices.ContainsFunc(near, func(n view.Peer) bool { return n.Name == p.Name }) {
+		return true
+	}
+	_, isReporter := e.reporterRank(p)
+	return isReporter
+}
+
 // tell sends reports in as many datagrams as they take; the first one carries
 // the rest of the message.
 func (e *Exchange) tell(message datagram, reports []placement.Report, peers []view.Peer) {
@@ -344,8 +358,9 @@
 		default: // the next news show that some are missing
 		}
 	}
-	for service, keys := range message.Keys {
-		e.keys.AddKeys(now, service, keys)
+	isPassedOn := message.Domain != "" && !e.isFrom(message.From, sender)
+	if !isPassedOn {
+		e.takeKeys(now, message)
 	}
 	if len(message.Loads) == 0 {
 		return
@@ -356,12 +371,23 @@
 		return
 	}
 	e.estimator.LearnDomain(now, message.Domain, reports)
-	if _, isReporter := e.reporterRank(); isReporter && e.isFrom(message.From, sender) {
+	if _, isReporter := e.reporterRank(e.self); isReporter && !isPassedOn {
 		near, _ := e.others()
 		e.write(raw, near)
 	}
 }
 
+// takeKeys counts the keys of another instance's requests. What reporters of other
+// failure domains tell of theirs is not told on.
+func (e *Exchange) takeKeys(now time.Time, message datagram) {
+	for service, keys := range message.Keys {
+		e.keys.AddKeys(now, service, keys)
+	}
+	if message.Domain == "" {
+		e.domainKeys.add(message.Keys)
+	}
+}
+
 // isFrom reports whether a datagram came from an instance itself, as against
 // one that passed it on.
 func (e *Exchange) isFrom(instance string, sender netip.AddrPort) bool {
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -75,8 +76,10 @@
 	log := slog.New(slog.DiscardHandler)
 	v := view.NewView(log, 0)
 	for _, p := range []view.Peer{
-		{Name: "weak", FailureDomain: "a", LinkMbps: 10}, {Name: "strong", FailureDomain: "a", LinkMbps: 200},
-		{Name: "middle", FailureDomain: "a", LinkMbps: 100}, {Name: "other", FailureDomain: "b", LinkMbps: 500},
+		{Name: "weak", FailureDomain: "a", LinkMbps: 10},
+		{Name: "strong", FailureDomain: "a", LinkMbps: 200},
+		{Name: "middle", FailureDomain: "a", LinkMbps: 100},
+		{Name: "other", FailureDomain: "b", LinkMbps: 500},
 	} {
 		record, err := view.PeerRecord(p)
 		require.NoError(t, err)
@@ -84,10 +87,39 @@
 	}
 	for name, want := range map[string]int{"strong": 0, "middle": 1, "weak": -1} {
 		e := &Exchange{self: view.Peer{Name: name, FailureDomain: "a"}, view: v}
-		rank, isReporter := e.reporterRank()
+		rank, isReporter := e.reporterRank(e.self)
 		require.Equal(t, want >= 0, isReporter, name)
 		if isReporter {
 			require.Equal(t, want, rank, name)
 		}
 	}
 }
+
+type keyRecorder struct{ keys map[string][]int }
+
+func (r *keyRecorder) AddKeys(_ time.Time, service string, keys []int) {
+	r.keys[service] = append(r.keys[service], keys...)
+}
+func (*keyRecorder) TakeKeys() map[string][]int { return nil }
+
+// Keys are counted once, however many reporters pass a message on, and those of
+// another failure domain are not told back to it.
+func TestKeysOfADomainAreCountedOnce(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	v := view.NewView(log, 0)
+	direct, relay := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+	for _, p := range []view.Peer{{Name: "b0", FailureDomain: "b", Address: direct.String()}, {Name: "a1", FailureDomain: "a", Address: relay.String()}} {
+		record, err := view.PeerRecord(p)
+		require.NoError(t, err)
+		v.Apply(time.Now(), []redwingstall.Event{redwingstall.RecordChanged{Change: redwingstall.Change{Item: record}}}, false)
+	}
+	recorder := &keyRecorder{keys: map[string][]int{}}
+	e := &Exchange{self: view.Peer{Name: "a0", FailureDomain: "a"}, view: v, estimator: &placement.Estimator{}, keys: recorder, log: log}
+	message := datagram{From: "b0", Domain: "b", Keys: map[string][]int{"s": {5, 6}}}
+	e.take(time.Now(), message, nil, direct)
+	e.take(time.Now(), message, nil, relay)
+	require.Equal(t, []int{5, 6}, recorder.keys["s"])
+	require.Empty(t, e.domainKeys.take())
+	e.take(time.Now(), datagram{From: "a1", Keys: map[string][]int{"s": {7}}}, nil, relay)
+	require.Equal(t, map[string][]int{"s": {7}}, e.domainKeys.take())
+}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -20,6 +20,8 @@
 	redwingstall.BackendEntry
 	// ColdUntil is when the server bears its full load.
 	ColdUntil time.Time
+	// DrainingSince is when its leaving was told, or zero.
+	DrainingSince time.Time
 	// IsSuspect is set while the entry is missing after an outage of the store.
 	IsSuspect bool
 }
@@ -49,11 +51,12 @@
 
 // Snapshot is one consistent state. It is never changed.
 type Snapshot struct {
-	Config    *redwingstall.Configuration
-	Routes    *table.Table
-	Servers   map[string][]*Server
-	ByID      map[string]*Server
-	Evacuated map[string]bool
+	Config  *redwingstall.Configuration
+	Routes  *table.Table
+	Servers map[string][]*Server
+	ByID    map[string]*Server
+	// Evacuated tells since when failure domains are taken out.
+	Evacuated map[string]time.Time
 	Maps      map[string]shardmap.Map
 	Peers     []Peer
 	// Leader is the record of the owner map's writer, or a zero item.
@@ -66,7 +69,8 @@
 
 // IsUsable reports whether new requests may go to a server.
 func (s *Snapshot) IsUsable(server *Server) bool {
-	return !server.Draining && !s.Evacuated[server.FailureDomain]
+	_, isEvacuated := s.Evacuated[server.FailureDomain]
+	return !server.Draining && !isEvacuated
 }
 
 // View is safe for concurrent use. The zero value is empty.
@@ -172,7 +176,7 @@
 		Config:    old.Config,
 		Routes:    old.Routes,
 		ByID:      make(map[string]*Server, len(old.ByID)),
-		Evacuated: make(map[string]bool, len(old.Evacuated)),
+		Evacuated: make(map[string]time.Time, len(old.Evacuated)),
 		Maps:      make(map[string]shardmap.Map, len(old.Maps)),
 		Peers:     slices.Clone(old.Peers),
 		Leader:    old.Leader,
@@ -182,8 +186,8 @@
 	for id, s := range old.ByID {
 		next.ByID[id] = s
 	}
-	for domain := range old.Evacuated {
-		next.Evacuated[domain] = true
+	for domain, since := range old.Evacuated {
+		next.Evacuated[domain] = since
 	}
 	for service, m := range old.Maps {
 		next.Maps[service] = m
@@ -223,7 +227,7 @@
 	}
 	for domain := range next.Evacuated {
 		if !domains[domain] {
-			v.setEvacuation(next, domain, false)
+			v.setEvacuation(now, next, domain, false)
 		}
 	}
 	next.Peers = nil
@@ -236,7 +240,7 @@
 	case redwingstall.ConfigurationChanged:
 		v.setConfiguration(next, e.Configuration)
 	case redwingstall.EvacuationChanged:
-		v.setEvacuation(next, e.FailureDomain, e.IsActive)
+		v.setEvacuation(now, next, e.FailureDomain, e.IsActive)
 	case redwingstall.EntryChanged:
 		v.setEntry(now, next, e.Entry)
 	case redwingstall.EntryRemoved:
@@ -255,13 +259,13 @@
 	v.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes))
 }
 
-func (v *View) setEvacuation(next *Snapshot, domain string, isActive bool) {
-	if next.Evacuated[domain] == isActive {
+func (v *View) setEvacuation(now time.Time, next *Snapshot, domain string, isActive bool) {
+	if _, wasActive := next.Evacuated[domain]; wasActive == isActive {
 		return
 	}
 	v.log.Info("evacuation", "failureDomain", domain, "active", isActive)
 	if isActive {
-		next.Evacuated[domain] = true
+		next.Evacuated[domain] = now
 		return
 	}
 	delete(next.Evacuated, domain)
@@ -276,6 +280,12 @@
 	if old != nil && old.Born > e.Born {
 		return
 	}
+	if e.Draining {
+		s.DrainingSince = now
+		if old != nil && old.Born == e.Born && old.Draining {
+			s.DrainingSince = old.DrainingSince
+		}
+	}
 	if old == nil || old.Born != e.Born || old.Draining != e.Draining || old.IsSuspect {
 		v.log.Info("backend server", "server", e.ID, "service", e.Service, "born", e.Born, "draining", e.Draining, "warmupLeft", e.WarmupLeft.String())
 	}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -118,7 +118,9 @@
 		Log:           g.log,
 		WarmupOverrun: bounds.WarmupOverrun,
 		WarmupSlack:   bounds.WarmupSlack,
+		// The other half is left for the news of the leaving to arrive.
 		DrainLimit:    bounds.Drain / 2,
+		EvacuateLimit: bounds.Evacuate / 2,
 		Random:        rand.Float64,
 	})
 }
--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -267,12 +267,10 @@
 		draft.Divide(servers)
 		return draft, true
 	}
-	changed := a.takeBack(&draft, world)
+	changed := a.takeBack(now, &draft, world)
 	if now >= a.settledAt {
 		changed = a.giveOut(now, &draft, world) || changed
-	}
-	if !changed {
-		changed = a.level(now, &draft, world)
+		changed = changed || a.level(now, &draft, world)
 	}
 	if changed {
 		a.tidy(&draft)
@@ -292,8 +290,8 @@
 
 // takeBack starts the release of ranges whose owner must not have them, and
 // gives ranges that were fenced off a new token.
-func (a *Assigner) takeBack(draft *shardmap.Map, world World) bool {
-	mustLeave := func(r shardmap.Range) bool { return r.State == shardmap.StateHeld && a.mustLeave(r, world) }
+func (a *Assigner) takeBack(now time.Duration, draft *shardmap.Map, world World) bool {
+	mustLeave := func(r shardmap.Range) bool { return r.State == shardmap.StateHeld && a.mustLeave(now, r, world) }
 	if !slices.ContainsFunc(draft.Ranges, mustLeave) {
 		return a.renewFences(draft)
 	}
@@ -327,8 +325,9 @@
 }
 
 // mustLeave reports whether the owner of a range has started anew, is leaving,
-// or has left too many grants without an answer.
-func (a *Assigner) mustLeave(r shardmap.Range, world World) bool {
+// or has left too many grants without an answer. One that leaves serves on as long
+// as its keys could not be handed out.
+func (a *Assigner) mustLeave(now time.Duration, r shardmap.Range, world World) bool {
 	s, found := world.Servers[r.Owner.ID]
 	if !found || s.Born != r.Owner.Born {
 		return true
@@ -338,7 +337,7 @@
 			return true
 		}
 	}
-	return !s.IsUsable && hasOther(world, r.Owner.ID)
+	return !s.IsUsable && now >= a.settledAt && hasOther(world, r.Owner.ID)
 }
 
 // hasOther reports whether anybody else could take keys.
--- a/internal/ownership/assign/level.go
+++ b/internal/ownership/assign/level.go
@@ -27,9 +27,10 @@
 	// speeds that are measured over a second differ by a fifth without a cause.
 	levelGap = 0.3
 	// nearlyFull is the utilization from which queues grow without bound in a
-	// burst, and nearlyFullGap what is enough of a difference then.
-	nearlyFull    = 0.9
-	nearlyFullGap = 0.12
+	// burst, and nearlyFullRatio what is enough of a difference then. Where all
+	// servers are overloaded, moves between them help nobody.
+	nearlyFull      = 0.9
+	nearlyFullRatio = 1.25
 	// leastRate of a move, in requests a second; moving less is not noticed.
 	leastRate = 0.4
 )
@@ -170,7 +171,7 @@
 // much to one that is used so little.
 func isWorthLeveling(from, to float64) bool {
 	if from >= nearlyFull {
-		return from-to >= nearlyFullGap
+		return from >= nearlyFullRatio*to
 	}
 	return from >= levelAbove && from-to >= levelGap
 }
--- a/internal/ownership/assign/level_test.go
+++ b/internal/ownership/assign/level_test.go
@@ -196,3 +196,48 @@
 	}
 	require.Equal(t, 1, overloaded)
 }
+
+// Load: the leader's machine is lost while a failure domain is taken out. Its
+// successor hands nothing out until the former one's grants can be told from its
+// own; what it took back before would be served by nobody. Servers that are only
+// asked to leave keep their keys so long.
+func TestLeavingServersServeUntilKeysCanBeHandedOut(t *testing.T) {
+	world := worldOf(6, nil)
+	first := NewAssigner(0, exploreTiming, shardmap.Map{})
+	run(first, 0, 3*time.Second, world)
+	stored := first.Map()
+	stored.Term++
+	next := NewAssigner(3*time.Second, exploreTiming, stored)
+	leaving := world.Servers["s03"]
+	leaving.IsUsable = false
+	world.Servers["s03"] = leaving
+	world.Rates = hotRates()
+
+	run(next, 3*time.Second, 3*time.Second+exploreTiming.Lease, world)
+	for _, r := range next.Map().Ranges {
+		require.Equal(t, shardmap.StateHeld, r.State)
+	}
+	run(next, 3*time.Second+exploreTiming.Lease, 9*time.Second, world)
+	for _, r := range next.Map().Ranges {
+		require.NotEqual(t, "s03", r.Owner.ID)
+	}
+}
+
+// Load: all servers are overloaded about alike. Moves would help nobody, and their
+// keys would wait for the work under way.
+func TestNothingMovesAmongServersThatAreAllOverloaded(t *testing.T) {
+	world := worldOf(6, nil)
+	a := NewAssigner(0, exploreTiming, shardmap.Map{})
+	run(a, 0, 3*time.Second, world)
+	rates := make([]float32, redwingstall.Keys)
+	for key := range rates {
+		rates[key] = 130.0 / redwingstall.Keys
+	}
+	world.Rates = rates
+	slower := world.Servers["s02"]
+	slower.Capacity = 14
+	world.Servers["s02"] = slower
+	before := a.Map()
+	run(a, 3*time.Second, 6*time.Second, world)
+	require.Equal(t, before.LastFence, a.Map().LastFence)
+}
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -221,9 +221,7 @@
 	if d.owners.isResting(now, j.service, j.meta.Key, server.ID) {
 		return nil, true
 	}
-	if s.IsUsable(server) {
-		d.leaving.forget(server)
-	} else if now.Sub(d.leaving.since(now, server)) > d.DrainLimit {
+	if d.hasLeft(s, server, now) {
 		return nil, true
 	}
 	return d.assess(s, j, server, now), true
@@ -279,31 +277,15 @@
 	return time.Duration(float64(pause) * (least + (most-least)*d.Random()))
 }
 
-// leavingClock remembers when a server was first seen to leave.
-type leavingClock struct {
-	mu   sync.Mutex
-	seen map[shardmap.Server]time.Time
-}
-
-func (l *leavingClock) since(now time.Time, server *view.Server) time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.seen == nil {
-		l.seen = map[shardmap.Server]time.Time{}
-	}
-	at, found := l.seen[server.Process()]
-	if !found {
-		at = now
-		l.seen[server.Process()] = at
+// hasLeft reports whether an owner of keys must get no requests any more: it
+// drains, or its failure domain is taken out, for so long that its keys should
+// have moved.
+func (d *Dispatcher) hasLeft(s *view.Snapshot, server *view.Server, now time.Time) bool {
+	if server.Draining && now.Sub(server.DrainingSince) > d.DrainLimit {
+		return true
 	}
-	return at
-}
-
-// forget ends the memory of a server that is usable again.
-func (l *leavingClock) forget(server *view.Server) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.seen, server.Process())
+	since, isEvacuated := s.Evacuated[server.FailureDomain]
+	return isEvacuated && now.Sub(since) > d.EvacuateLimit
 }
 
 // ownerMisses remembers owners that did not hold a key. It spares them, and the
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -77,9 +77,11 @@
 	// WarmupOverrun and WarmupSlack bound the requests a second at a cold server.
 	WarmupOverrun float64
 	WarmupSlack   float64
-	// DrainLimit is how long after its leaving was told an owner of keys may
+	// DrainLimit and EvacuateLimit are how long after its leaving, or that of its
+	// failure domain, was told an owner of keys may
 	// still get requests, until they have moved.
-	DrainLimit time.Duration
+	DrainLimit    time.Duration
+	EvacuateLimit time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -87,7 +89,6 @@
 // Dispatcher serves requests. It is safe for concurrent use.
 type Dispatcher struct {
 	Parts
-	leaving  leavingClock
 	owners   ownerMisses
 	patience patience
 }
@@ -114,6 +115,9 @@
 	lastServer string
 	// isReturn is a client that was refused before and has come back.
 	isReturn bool
+	// expected and queue are what the last attempt was sent with.
+	expected time.Duration
+	queue    float64
 	// failure is the last answer of a server that was not a success.
 	failure *backends.Answer
 	waited  time.Duration
@@ -230,6 +234,7 @@
 	j.attempts++
 	j.tried[server.ID] = true
 	j.lastServer = server.ID
+	j.expected, j.queue = c.estimate.Completion, c.estimate.Queue
 	header := backends.Forwardable(j.request.Header)
 	began := time.Now()
 	d.Protocol.Attempt(header, server.ID, j.deadline.Sub(began))
@@ -320,5 +325,6 @@
 	d.Counter.Latency("requests", took)
 	d.Log.Info("request", "id", j.meta.ID, "route", route, "service", j.service, "key", j.meta.Key, "status", answer.Status,
 		"reason", reason, "server", j.lastServer, "attempts", j.attempts, "tookMillis", took.Milliseconds(),
-		"waitedMillis", j.waited.Milliseconds(), "view", d.View.Snapshot().Age)
+		"waitedMillis", j.waited.Milliseconds(), "expectedMillis", j.expected.Milliseconds(), "queue", j.queue,
+		"isReturn", j.isReturn, "view", d.View.Snapshot().Age)
 }
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -116,7 +116,7 @@
 	w.dispatcher = dispatch.NewDispatcher(dispatch.Parts{
 		Self: "a", View: w.view, Backends: w.backends, Protocol: platform.Headers{}, Estimator: &placement.Estimator{},
 		Budget: budget.NewBudget(0.2, 56, 10*time.Second), Pace: &pace.Limiter{}, Keys: nobody{}, Counter: nobody{}, Log: log,
-		WarmupOverrun: 1.5, WarmupSlack: 5, DrainLimit: time.Second, Random: random.Float64,
+		WarmupOverrun: 1.5, WarmupSlack: 5, DrainLimit: time.Second, EvacuateLimit: 2 * time.Second, Random: random.Float64,
 	})
 	return w
 }
