Servers are chosen among three at random in large fleets; connections by what is open; large news through reporters

(1) 35 instances of all failure domains sent a charge to the same server within 30 ms, since all knew the same of it: 1434 of 17519 charges ended with a reset. (2) 81 instances shared 102 connections, one each: 10500 attempts found none, and each counted against attempts and the budget. (3) 122 MB of owner maps crossed between failure domains. Change: fleets of more than 12 compare three servers in their own failure domain and three elsewhere; a server without a free connection is no attempt; an instance may open more than its share while few are open elsewhere, and closes idle ones after 4 s where its share is below three; news above 1200 bytes go to reporters; changes of backend servers gather for 80 ms; the leader looks at the rates of keys every 300 ms and indexes silent grants; unused code removed. Tests: dispatch (choice, connections, silence).

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -98,6 +98,7 @@
 	// idleSince and idleFor bound the reuse.
 	idleSince time.Time
 	idleFor   time.Duration
+	idleLimit time.Duration
 }
 
 // NewPool returns an empty pool that counts why connections are opened and closed.
@@ -105,13 +106,23 @@
 	return &Pool{protocol: protocol, count: count, servers: map[string]*server{}}
 }
 
-// Do sends a request to the server of an id at an address over one of at most
-// limit connections. The error is an *[Error].
-func (p *Pool) Do(ctx context.Context, id, address string, limit int, request Request) (Answer, error) {
-	c, err := p.get(ctx, id, address, limit)
+// Limits of the connections to one server.
+type Limits struct {
+	// Open connections at most.
+	Open int
+	// Idle is how long a connection may wait for its next request; zero leaves it
+	// to the server.
+	Idle time.Duration
+}
+
+// Do sends a request to the server of an id at an address, within the limits of
+// its connections. The error is an *[Error].
+func (p *Pool) Do(ctx context.Context, id, address string, limits Limits, request Request) (Answer, error) {
+	c, err := p.get(ctx, id, address, limits.Open)
 	if err != nil {
 		return Answer{}, err
 	}
+	c.idleLimit = limits.Idle
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	answer, reusable, err := p.exchange(c, request)
 	switch {
@@ -197,6 +208,9 @@
 		return
 	}
 	c.idleSince = time.Now()
+	if c.idleLimit > 0 {
+		c.idleFor = min(c.idleFor, c.idleLimit)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[c.key]
@@ -234,12 +248,16 @@
 	}
 }
 
-// HasIdle reports whether a connection to the server waits for use.
-func (p *Pool) HasIdle(id, address string) bool {
+// Connections tells how many connections to a server are open, and how many of
+// them wait for use.
+func (p *Pool) Connections(id, address string) (open, idle int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[id+" "+address]
-	return s != nil && len(s.idle) > 0
+	if s == nil {
+		return 0, 0
+	}
+	return s.open, len(s.idle)
 }
 
 // exchange writes the request and reads the answer to its end.
--- a/internal/entry/backends/backends_test.go
+++ b/internal/entry/backends/backends_test.go
@@ -64,7 +64,7 @@
 func do(p *backends.Pool, s *server, id string) (backends.Answer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	return p.Do(ctx, "s", s.listener.Addr().String(), 4, request(id))
+	return p.Do(ctx, "s", s.listener.Addr().String(), backends.Limits{Open: 4}, request(id))
 }
 
 func reply(c net.Conn, id, body string) {
@@ -173,7 +173,7 @@
 		r := request("a")
 		r.Method, r.HasBody, r.Body = "POST", true, []byte(strings.Repeat("x", 16<<20))
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		answer, err := p.Do(ctx, "s", s.listener.Addr().String(), 4, r)
+		answer, err := p.Do(ctx, "s", s.listener.Addr().String(), backends.Limits{Open: 4}, r)
 		cancel()
 		require.NoError(t, err)
 		require.Equal(t, "early", string(answer.Body))
@@ -185,7 +185,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, listener.Close())
-	_, err = pool().Do(context.Background(), "s", listener.Addr().String(), 4, request("a"))
+	_, err = pool().Do(context.Background(), "s", listener.Addr().String(), backends.Limits{Open: 4}, request("a"))
 	failed := &backends.Error{}
 	require.True(t, errors.As(err, &failed))
 	require.False(t, failed.IsSent)
@@ -201,11 +201,11 @@
 	p := pool()
 	ended := make(chan error, 1)
 	go func() {
-		_, err := p.Do(context.Background(), "s", s.listener.Addr().String(), 1, request("a"))
+		_, err := p.Do(context.Background(), "s", s.listener.Addr().String(), backends.Limits{Open: 1}, request("a"))
 		ended <- err
 	}()
 	require.Eventually(t, func() bool { return s.accepted.Load() == 1 }, time.Second, time.Millisecond)
-	_, err := p.Do(context.Background(), "s", s.listener.Addr().String(), 1, request("b"))
+	_, err := p.Do(context.Background(), "s", s.listener.Addr().String(), backends.Limits{Open: 1}, request("b"))
 	failed := &backends.Error{}
 	require.True(t, errors.As(err, &failed))
 	require.Equal(t, backends.ReasonConnections, failed.Reason)
@@ -221,7 +221,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	_, err := pool().Do(ctx, "s", s.listener.Addr().String(), 4, request("a"))
+	_, err := pool().Do(ctx, "s", s.listener.Addr().String(), backends.Limits{Open: 4}, request("a"))
 	require.Error(t, err)
 	select {
 	case <-gone:
--- a/internal/entry/callers/server.go
+++ b/internal/entry/callers/server.go
@@ -124,18 +124,6 @@
 	return s.isLeaving
 }
 
-// Open counts the connections, and those with a request under way.
-func (s *Server) Open() (open, busy int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.connections {
-		if c.isBusy() {
-			busy++
-		}
-	}
-	return len(s.connections), busy
-}
-
 // Close stops accepting, closes idle connections and waits until the others
 // have answered, or until the context ends.
 func (s *Server) Close(ctx context.Context) {
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -29,8 +29,11 @@
 	confirmedLimit = 700 * time.Millisecond
 	// aloneWait of an instance that watches for itself.
 	aloneWait = 1200 * time.Millisecond
-	// batchPause lets changes gather before the next call.
+	// batchPause lets changes gather before the next call, and entryPause does so
+	// after changes of backend servers only, which come in crowds and are urgent
+	// within seconds.
 	batchPause = 15 * time.Millisecond
+	entryPause = 80 * time.Millisecond
 	retryPause = 150 * time.Millisecond
 	// newsEvery is how often a watcher tells its revision without changes.
 	newsEvery = 150 * time.Millisecond
@@ -197,12 +200,12 @@
 		return err
 	}
 	f.confirm()
-	f.apply(changes, at)
+	isUrgent := f.apply(changes, at)
 	if len(changes) > 0 {
 		if speaks {
 			f.relay.Tell(News{After: int64(after), At: int64(f.revision), Changes: changes})
 		}
-		pause(ctx, batchPause)
+		f.gather(ctx, isUrgent)
 	}
 	if !f.isWatcher() {
 		f.watchesAlone = !f.hasNews()
@@ -210,6 +213,15 @@
 	return nil
 }
 
+// gather waits for more changes before the next call.
+func (*Follower) gather(ctx context.Context, isUrgent bool) {
+	if isUrgent {
+		pause(ctx, batchPause)
+		return
+	}
+	pause(ctx, entryPause)
+}
+
 // confirm notes that the store has answered.
 func (f *Follower) confirm() {
 	f.confirmed = time.Now()
@@ -273,14 +285,24 @@
 	return nil
 }
 
-// apply takes over changes that are newer than the view.
-func (f *Follower) apply(changes []redwingstall.Change, at redwingstall.Revision) {
+// apply takes over changes that are newer than the view. It reports whether others
+// than those of backend servers are among them.
+func (f *Follower) apply(changes []redwingstall.Change, at redwingstall.Revision) (isUrgent bool) {
 	known := f.revision
 	newer := slices.DeleteFunc(slices.Clone(changes), func(c redwingstall.Change) bool { return c.Revision <= known })
 	f.revision = max(known, at)
-	if len(newer) > 0 {
-		f.view.Apply(time.Now(), f.decode(newer), false)
+	if len(newer) == 0 {
+		return false
 	}
+	events := f.decode(newer)
+	f.view.Apply(time.Now(), events, false)
+	return slices.ContainsFunc(events, func(e redwingstall.Event) bool {
+		switch e.(type) {
+		case redwingstall.EntryChanged, redwingstall.EntryRemoved:
+			return false
+		}
+		return true
+	})
 }
 
 func (f *Follower) decode(changes []redwingstall.Change) []redwingstall.Event {
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -37,6 +37,10 @@
 	maxServers = 48
 	maxKeys    = 100
 	maxBytes   = 64 << 10
+	// directNewsBytes go to each instance at once. Larger news, such as owner maps
+	// of 10 KB, cross between failure domains to the reporters only; whoever misses
+	// them sees it by the next ones.
+	directNewsBytes = 1200
 	// maxNewsBytes of a datagram; larger news are read from the store.
 	maxNewsBytes = 32 << 10
 )
@@ -58,6 +62,7 @@
 	_        struct{} `cbor:",toarray"`
 	ID       uint32
 	InFlight int
+	Open     int
 	// FactorPercent and SlowdownPercent are rounded.
 	FactorPercent   int
 	SlowdownPercent int
@@ -143,9 +148,20 @@
 		return
 	}
 	near, far := e.others()
+	if len(text) > directNewsBytes {
+		far = e.allReporters(far)
+	}
 	e.write(text, append(near, far...))
 }
 
+// allReporters returns the reporters among other failure domains' instances.
+func (e *Exchange) allReporters(far []view.Peer) []view.Peer {
+	return slices.DeleteFunc(slices.Clone(far), func(p view.Peer) bool {
+		_, isReporter := e.reporterRank(p)
+		return !isReporter
+	})
+}
+
 // Run exchanges until the context ends.
 func (e *Exchange) Run(ctx context.Context) {
 	defer close(e.done)
@@ -319,7 +335,7 @@
 func shorten(reports []placement.Report) []serverLoad {
 	short := make([]serverLoad, 0, len(reports))
 	for _, r := range reports {
-		s := serverLoad{ID: shortID(r.Server), InFlight: r.InFlight, FactorPercent: int(r.Factor * percent)}
+		s := serverLoad{ID: shortID(r.Server), InFlight: r.InFlight, Open: r.Open, FactorPercent: int(r.Factor * percent)}
 		if r.HasLoad {
 			s.Running, s.Waiting, s.Slots = r.Load.Running, r.Load.Waiting, r.Load.Slots
 			s.SlowdownPercent, s.AgeMS = int(r.Load.Slowdown*percent), int(r.Age.Milliseconds())
@@ -352,14 +368,11 @@
 }
 
 func (e *Exchange) take(now time.Time, message datagram, raw []byte, sender netip.AddrPort) {
+	isPassedOn := !e.isFrom(message.From, sender)
 	if message.News != nil {
-		select {
-		case e.news <- *message.News:
-		default: // the next news show that some are missing
-		}
+		e.takeNews(message, raw, isPassedOn)
 	}
-	isPassedOn := message.Domain != "" && !e.isFrom(message.From, sender)
-	if !isPassedOn {
+	if message.Domain == "" || !isPassedOn {
 		e.takeKeys(now, message)
 	}
 	if len(message.Loads) == 0 {
@@ -377,6 +390,22 @@
 	}
 }
 
+// takeNews hands news over, and passes large ones from another failure domain on.
+func (e *Exchange) takeNews(message datagram, raw []byte, isPassedOn bool) {
+	select {
+	case e.news <- *message.News:
+	default: // the next news show that some are missing
+	}
+	if isPassedOn || len(raw) <= directNewsBytes {
+		return
+	}
+	near, far := e.others()
+	_, isReporter := e.reporterRank(e.self)
+	if isReporter && slices.ContainsFunc(far, func(p view.Peer) bool { return p.Name == message.From }) {
+		e.write(raw, near)
+	}
+}
+
 // takeKeys counts the keys of another instance's requests. What reporters of other
 // failure domains tell of theirs is not told on.
 func (e *Exchange) takeKeys(now time.Time, message datagram) {
@@ -419,7 +448,7 @@
 		if !found {
 			continue // a server that this instance has not heard of yet
 		}
-		r := placement.Report{Server: id, InFlight: s.InFlight, Factor: float64(s.FactorPercent) / percent, HasLoad: s.Slots > 0}
+		r := placement.Report{Server: id, InFlight: s.InFlight, Open: s.Open, Factor: float64(s.FactorPercent) / percent, HasLoad: s.Slots > 0}
 		r.Load.Running, r.Load.Waiting, r.Load.Slots = s.Running, s.Waiting, s.Slots
 		r.Load.Slowdown = float64(s.SlowdownPercent) / percent
 		r.Age = time.Duration(s.AgeMS) * time.Millisecond
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -59,6 +59,8 @@
 	Evacuated map[string]time.Time
 	Maps      map[string]shardmap.Map
 	Peers     []Peer
+	// PeerNames are those of the peers.
+	PeerNames []string
 	// Leader is the record of the owner map's writer, or a zero item.
 	Leader redwingstall.Item
 	// Changed is closed when a newer snapshot exists.
@@ -125,13 +127,6 @@
 	}
 }
 
-// IsStoreAway reports whether the last calls of the store failed.
-func (v *View) IsStoreAway() bool {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	return v.storeAway
-}
-
 // Apply takes changes over. With reset they are everything that exists.
 func (v *View) Apply(now time.Time, events []redwingstall.Event, reset bool) {
 	v.mu.Lock()
@@ -203,6 +198,10 @@
 	for _, list := range next.Servers {
 		slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	next.PeerNames = make([]string, 0, len(next.Peers))
+	for _, p := range next.Peers {
+		next.PeerNames = append(next.PeerNames, p.Name)
+	}
 	old := v.current
 	v.current = next
 	close(old.Changed)
--- a/internal/observe/metrics/metrics.go
+++ b/internal/observe/metrics/metrics.go
@@ -49,11 +49,6 @@
 	metrics.GetOrRegisterCounter(name, r.counters).Inc(n)
 }
 
-// Set sets a counter that is kept elsewhere.
-func (r *Registry) Set(name string, value int64) {
-	metrics.GetOrRegisterGauge(name, r.counters).Update(value)
-}
-
 // Latency records a duration.
 func (r *Registry) Latency(name string, took time.Duration) {
 	r.mu.Lock()
--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -291,7 +291,10 @@
 // takeBack starts the release of ranges whose owner must not have them, and
 // gives ranges that were fenced off a new token.
 func (a *Assigner) takeBack(now time.Duration, draft *shardmap.Map, world World) bool {
-	mustLeave := func(r shardmap.Range) bool { return r.State == shardmap.StateHeld && a.mustLeave(now, r, world) }
+	silent := a.silentOrders()
+	mustLeave := func(r shardmap.Range) bool {
+		return r.State == shardmap.StateHeld && (a.mustLeave(now, r, world) || isSilent(r, silent))
+	}
 	if !slices.ContainsFunc(draft.Ranges, mustLeave) {
 		return a.renewFences(draft)
 	}
@@ -324,19 +327,31 @@
 	return changed
 }
 
-// mustLeave reports whether the owner of a range has started anew, is leaving,
-// or has left too many grants without an answer. One that leaves serves on as long
-// as its keys could not be handed out.
+// silentOrders are the grants that were sent too often without an answer.
+func (a *Assigner) silentOrders() []orderKey {
+	silent := []orderKey{}
+	for key, p := range a.orders {
+		if key.kind == OrderGrant && p.silent >= silentGrants {
+			silent = append(silent, key)
+		}
+	}
+	return silent
+}
+
+// isSilent reports whether a range, or what it was cut from, was granted in vain.
+func isSilent(r shardmap.Range, silent []orderKey) bool {
+	return slices.ContainsFunc(silent, func(k orderKey) bool {
+		return k.fence == r.Fence && k.keys.From <= r.From && r.To <= k.keys.To
+	})
+}
+
+// mustLeave reports whether the owner of a range has started anew or is leaving.
+// One that leaves serves on as long as its keys could not be handed out.
 func (a *Assigner) mustLeave(now time.Duration, r shardmap.Range, world World) bool {
 	s, found := world.Servers[r.Owner.ID]
 	if !found || s.Born != r.Owner.Born {
 		return true
 	}
-	for key, p := range a.orders {
-		if key.kind == OrderGrant && key.fence == r.Fence && p.silent >= silentGrants && key.keys.From <= r.From && r.To <= key.keys.To {
-			return true
-		}
-	}
 	return !s.IsUsable && now >= a.settledAt && hasOther(world, r.Owner.ID)
 }
 
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -31,6 +31,9 @@
 	// of the most used servers a line names.
 	levelsEvery = 2 * time.Second
 	mostLevels  = 4
+	// ratesEvery is how often the rates of all keys are looked at: twice for each
+	// time that keys are leveled.
+	ratesEvery = 300 * time.Millisecond
 	// standFor is how long a try to become leader lasts.
 	standFor = 2 * time.Second
 	// rankPause spreads the instances' tries to become leader.
@@ -85,6 +88,9 @@
 	addresses map[string]string
 	toldAt    time.Duration
 	wroteAt   time.Duration
+	// rates of the keys as measured at a time.
+	rates   []float32
+	ratesAt time.Duration
 	// sending counts the orders under way.
 	sending   int
 	isWriting bool
@@ -341,11 +347,14 @@
 	})
 }
 
-func (l *Leader) world(s *view.Snapshot, name string, addresses map[string]string) assign.World {
-	world := assign.World{Servers: map[string]assign.Server{}, Rates: l.Measures.KeyRates(name)}
+func (l *Leader) world(s *view.Snapshot, name string, state *service) assign.World {
+	if clock := l.Clock(); state.rates == nil || clock-state.ratesAt >= ratesEvery {
+		state.rates, state.ratesAt = l.Measures.KeyRates(name), clock
+	}
+	world := assign.World{Servers: map[string]assign.Server{}, Rates: state.rates}
 	now := time.Now()
 	for _, server := range s.Servers[name] {
-		addresses[server.ID] = server.Address
+		state.addresses[server.ID] = server.Address
 		world.Servers[server.ID] = assign.Server{
 			Server:   server.Process(),
 			Address:  server.Address,
@@ -364,7 +373,7 @@
 	if state == nil {
 		return false
 	}
-	world := l.world(s, name, state.addresses)
+	world := l.world(s, name, state)
 	now := l.Clock()
 	for _, o := range state.assigner.Orders(now, world, state.addresses) {
 		state.sending++
--- a/internal/routing/placement/health.go
+++ b/internal/routing/placement/health.go
@@ -20,8 +20,9 @@
 	// server silent: requests that take three times their mean are one in a
 	// hundred, and a server's neighbors may slow it down as much.
 	silentFactor = 3.0
-	// leastSilence is above a pause of a server or a lost packet sent again.
-	leastSilence = 600 * time.Millisecond
+	// LeastSilence of a server that is taken to be gone, above a pause of it or a
+	// lost packet that is sent again.
+	LeastSilence = 600 * time.Millisecond
 	// silenceKept is how long a server counts as silent after the last request
 	// that waited there was given up; then one request tries it again.
 	silenceKept = time.Second
@@ -121,7 +122,7 @@
 		}
 	}
 	longest = min(longest, now.Sub(answered))
-	return longest >= max(leastSilence, time.Duration(silentFactor*float64(expected)))
+	return longest >= max(LeastSilence, time.Duration(silentFactor*float64(expected)))
 }
 
 // failureRate of a server over all instances.
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -34,6 +34,8 @@
 
 type state struct {
 	inFlight int
+	// open connections of this instance.
+	open int
 	// samples is the number of answers that the factor rests on.
 	samples int
 	factor  float64
@@ -92,6 +94,8 @@
 	// IsResting is set after failures in a row, and while the server answers
 	// nobody.
 	IsResting bool
+	// ElsewhereOpen counts the connections that other instances have open.
+	ElsewhereOpen int
 	// FailureRate is the share of recent attempts, of all instances, that failed.
 	FailureRate float64
 }
@@ -117,7 +121,27 @@
 		Completion:  completion,
 		IsResting:   s.health.isResting(now) || s.isSilent(now, completion),
 		FailureRate: s.failureRate(now),
+
+		ElsewhereOpen: s.elsewhereOpen(now),
+	}
+}
+
+// IsSilent reports whether a server answers nobody.
+func (e *Estimator) IsSilent(now time.Time, route string, c Candidate) bool {
+	estimate := e.Estimate(now, route, c)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state(c.ID).isSilent(now, estimate.Completion)
+}
+
+func (s *state) elsewhereOpen(now time.Time) int {
+	sum := 0
+	for _, h := range s.sources {
+		if h.isFresh(now) {
+			sum += h.Open
+		}
 	}
+	return sum
 }
 
 func weightOf(age time.Duration) float64 {
@@ -165,6 +189,7 @@
 	defer e.mu.Unlock()
 	s := e.state(c.ID)
 	s.inFlight--
+	s.open = outcome.Open
 	s.told = true
 	if outcome.HasLoad {
 		s.load, s.loadAt = outcome.Load, now
@@ -212,6 +237,8 @@
 	HasLoad bool
 	// Bytes of the answer.
 	Bytes int
+	// Open connections to the server afterwards.
+	Open int
 	// IsAnswered is set if the server sent anything.
 	IsAnswered bool
 	// IsFull is a connection that was reset at once, as servers do whose queue
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
@@ -12,9 +14,12 @@
 )
 
 const (
-	// queueFactor times the slots is the most that a server is let queue; its own
-	// queue is shared by all instances and some reset what does not fit.
-	queueFactor = 3.0
+	// ownerQueue times the slots is the most that the owner of a key is let queue,
+	// which has it alone; serverQueue is that of a server beside others. The queue
+	// is shared by all instances, some servers reset what does not fit, and what
+	// others have sent is known a third of a second late.
+	ownerQueue  = 3.0
+	serverQueue = 2.0
 	// farMessage is what another failure domain costs a request: a round trip of
 	// 2 ms, the bytes of its headers, often a new connection, and a queue that is
 	// known less well than those nearby.
@@ -27,8 +32,16 @@
 	noise = 0.12
 	// connectCost of a new connection against a kept one.
 	connectCost = 15 * time.Millisecond
-	// connectionShare of a server's connections that the instances use together.
+	// connectionShare of a server's connections is divided among the instances.
 	connectionShare = 0.85
+	// freeShare of them may be open in all for an instance to open more than its
+	// share: as many may be opened before it is known of these.
+	freeShare = 0.55
+	// shortShare of an instance is one with which connections are closed after
+	// shortIdle, so that they are there for those that need them.
+	shortShare = 3
+	shortIdle  = 4 * time.Second
+	longIdle   = 8 * time.Second
 	// ownerPoll is the longest wait for a newer owner map before looking again.
 	ownerPoll = 100 * time.Millisecond
 	// missRest is how long an owner that did not hold a key is not asked again.
@@ -39,10 +52,19 @@
 
 // choice is the server for the next attempt.
 type choice struct {
-	server      *view.Server
-	estimate    placement.Estimate
-	connections int
-	viewAge     int64
+	server   *view.Server
+	estimate placement.Estimate
+	limits   backends.Limits
+	// hasIdle is set if a connection waits for use, and hasConnection if one may
+	// be used or opened.
+	hasIdle       bool
+	hasConnection bool
+	viewAge       int64
+}
+
+// isFree reports whether a server has a place in its queue and a connection.
+func (c *choice) isFree() bool {
+	return c.hasConnection && c.estimate.Queue < serverQueue*float64(c.server.Slots)
 }
 
 func (c *choice) candidate() placement.Candidate {
@@ -68,36 +90,23 @@
 	return d.choosePooled(j)
 }
 
-// choosePooled takes the server that is expected to answer first.
+// choosePooled takes the server that is expected to answer first, of a few.
 func (d *Dispatcher) choosePooled(j *job) (*choice, refused) {
 	s := d.View.Snapshot()
 	now := time.Now()
-	var best *choice
-	bestCost := 0.0
-	known := 0
-	soonest := time.Duration(0)
-	for pass := 0; pass < 2 && best == nil; pass++ {
-		for _, server := range s.Servers[j.service] {
-			if !s.IsUsable(server) || j.tried[server.ID] {
-				continue
-			}
-			c := d.assess(s, j, server, now)
-			known++
-			if soonest == 0 || c.estimate.Completion < soonest {
-				soonest = c.estimate.Completion
-			}
-			// Resting servers are asked only if there is no other.
-			if !d.isOpen(s, server, now) || c.estimate.Queue >= queueFactor*float64(server.Slots) || c.estimate.IsResting && pass == 0 {
-				continue
-			}
-			if cost := d.cost(j, c); best == nil || cost < bestCost {
-				best, bestCost = c, cost
-			}
-		}
+	usable := slices.DeleteFunc(slices.Clone(s.Servers[j.service]), func(server *view.Server) bool {
+		return !s.IsUsable(server) || j.tried[server.ID]
+	})
+	if len(usable) == 0 {
+		return nil, refused{reason: ReasonNoServer, pause: noServerPause}
+	}
+	isReady := func(c *choice) bool { return d.isOpen(s, c.server, now) && c.isFree() && !c.estimate.IsResting }
+	best, soonest := d.sample(s, j, usable, now, isReady)
+	if best == nil {
+		// Resting servers are asked only if there is no other.
+		best, _ = d.sample(s, j, usable, now, func(c *choice) bool { return d.isOpen(s, c.server, now) && c.isFree() })
 	}
 	switch {
-	case known == 0:
-		return nil, refused{reason: ReasonNoServer, pause: noServerPause}
 	case best == nil:
 		return nil, refused{reason: ReasonOverload, pause: soonest / 2}
 	case d.isTooLate(j, best, now):
@@ -109,19 +118,77 @@
 	return best, refused{}
 }
 
+// sample looks at servers in random order, until it has found enough that are
+// acceptable in its own failure domain and in the others, and returns the best of
+// these with the earliest completion of all that it has looked at.
+func (d *Dispatcher) sample(s *view.Snapshot, j *job, servers []*view.Server, now time.Time, isAcceptable func(*choice) bool) (best *choice, soonest time.Duration) {
+	wanted := sampleSize(len(s.Peers), len(servers))
+	near, far := 0, 0
+	bestCost := 0.0
+	for i := range servers {
+		k := i + int(d.Random()*float64(len(servers)-i))
+		servers[i], servers[k] = servers[k], servers[i]
+		found := &far
+		if servers[i].FailureDomain == d.FailureDomain {
+			found = &near
+		}
+		if *found >= wanted {
+			continue
+		}
+		c := d.assess(s, j, servers[i], now)
+		if soonest == 0 || c.estimate.Completion < soonest {
+			soonest = c.estimate.Completion
+		}
+		if !isAcceptable(c) {
+			continue
+		}
+		*found++
+		if cost := d.cost(j, c); best == nil || cost < bestCost {
+			best, bestCost = c, cost
+		}
+	}
+	return best, soonest
+}
+
+const (
+	// exactInstances are so few that each knows what the others have just sent.
+	exactInstances = 12
+	// fewChoices are enough to avoid the most loaded servers. The best of all would
+	// be the same one for all instances until they hear of each other's requests,
+	// which would overload it. (Mitzenmacher, How useful is old information?, 2000.)
+	fewChoices = 3
+)
+
+// sampleSize is how many servers are compared in a failure domain.
+func sampleSize(instances, servers int) int {
+	if instances <= exactInstances {
+		return servers
+	}
+	return fewChoices
+}
+
 // noServerPause is about how long service discovery takes to tell of a server.
 const noServerPause = 400 * time.Millisecond
 
 func (d *Dispatcher) assess(s *view.Snapshot, j *job, server *view.Server, now time.Time) *choice {
 	c := &choice{server: server, viewAge: s.Age}
 	c.estimate = d.Estimator.Estimate(now, j.route.Name, c.candidate())
-	c.connections = connectionLimit(j.spec.MaxConnections, len(s.Peers))
+	open, idle := d.Backends.Connections(server.ID, server.Address)
+	c.limits = connectionLimits(j.spec.MaxConnections, len(s.Peers), c.estimate.ElsewhereOpen)
+	c.hasIdle = idle > 0
+	c.hasConnection = idle > 0 || open < c.limits.Open
 	return c
 }
 
-// connectionLimit is an instance's share of the connections of a server.
-func connectionLimit(connections, instances int) int {
-	return max(int(connectionShare*float64(connections))/max(instances, 1), 1)
+// connectionLimits bound an instance's connections to a server that accepts so
+// many from all. An instance may have more than its share while few are open.
+func connectionLimits(connections, instances, elsewhere int) backends.Limits {
+	share := int(connectionShare*float64(connections)) / max(instances, 1)
+	limits := backends.Limits{Open: max(share, int(freeShare*float64(connections))-elsewhere, 1), Idle: longIdle}
+	if share < shortShare {
+		limits.Idle = shortIdle
+	}
+	return limits
 }
 
 const kilobyte = 1000
@@ -133,7 +200,7 @@
 	if c.server.FailureDomain != d.FailureDomain {
 		cost += float64(farMessage) + float64(farKilobyte)*d.Estimator.Bytes(j.route.Name)/kilobyte
 	}
-	if !d.Backends.HasIdle(c.server.ID, c.server.Address) {
+	if !c.hasIdle {
 		cost += float64(connectCost)
 	}
 	return cost*(1+noise*d.Random()) + c.estimate.FailureRate*float64(d.failureCost(j))
@@ -165,13 +232,9 @@
 // while it is cold. All shares together stay below what it bears, with a
 // request to spare for instances that differ on who there is.
 func (d *Dispatcher) coldShare(s *view.Snapshot, server *view.Server) int {
-	names := make([]string, 0, len(s.Peers))
-	for _, p := range s.Peers {
-		names = append(names, p.Name)
-	}
 	rate := s.Config.Services[server.Service].WarmupRate
 	bears := min(rate*d.WarmupOverrun, rate+1) + min(d.WarmupSlack/2, 2)
-	return pace.Share(d.Self, server.ID, names, bears)
+	return pace.Share(d.Self, server.ID, s.PeerNames, bears)
 }
 
 // chooseOwner takes the owner of the key. While keys change hands it waits for a
@@ -230,7 +293,7 @@
 // admitOwner refuses what the owner could not answer in time: no other server
 // can run the request.
 func (d *Dispatcher) admitOwner(s *view.Snapshot, j *job, c *choice, now time.Time) (*choice, refused) {
-	isFull := c.estimate.Queue >= queueFactor*float64(c.server.Slots)
+	isFull := !c.hasConnection || c.estimate.Queue >= ownerQueue*float64(c.server.Slots)
 	if d.isTooLate(j, c, now) || isFull || c.estimate.IsResting || !d.takePace(s, c.server, now) {
 		return nil, refused{ReasonOverload, d.roomPause(j, c.estimate.Completion, now), c}
 	}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -45,8 +45,8 @@
 
 // Backends sends attempts.
 type Backends interface {
-	Do(ctx context.Context, id, address string, limit int, request backends.Request) (backends.Answer, error)
-	HasIdle(id, address string) bool
+	Do(ctx context.Context, id, address string, limits backends.Limits, request backends.Request) (backends.Answer, error)
+	Connections(id, address string) (open, idle int)
 }
 
 // Counter counts events and measures latencies.
@@ -239,15 +239,21 @@
 	began := time.Now()
 	d.Protocol.Attempt(header, server.ID, j.deadline.Sub(began))
 	d.Estimator.Begin(began, server.ID)
-	answer, err := d.Backends.Do(ctx, server.ID, server.Address, c.connections, backends.Request{
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if d.mayGiveUp(j) {
+		defer d.cancelOnSilence(j, c, cancel)()
+	}
+	answer, err := d.Backends.Do(attemptCtx, server.ID, server.Address, c.limits, backends.Request{
 		Method: j.request.Method, Target: j.request.Target, Host: j.request.Host,
 		Header: header, Body: j.request.Body, HasBody: j.request.HasBody, ID: j.meta.ID,
 	})
 	took := time.Since(began)
-	verdict := judge(answer, err, ctx.Err() != nil)
+	verdict := judge(answer, err, attemptCtx.Err() != nil)
+	open, _ := d.Backends.Connections(server.ID, server.Address)
 	d.Estimator.End(time.Now(), j.route.Name, c.candidate(), placement.Outcome{
 		Kind: verdict.teaches, Took: took, Queue: c.estimate.Queue, Load: answer.Meta.Load, HasLoad: answer.Meta.HasLoad,
-		Bytes: len(answer.Body), IsAnswered: err == nil, IsFull: verdict.isReset && took < fullReset,
+		Bytes: len(answer.Body), Open: open, IsAnswered: err == nil, IsFull: verdict.isReset && took < fullReset,
 	})
 	d.Counter.Count("attempts." + verdict.name)
 	if server.FailureDomain != d.FailureDomain {
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -31,9 +31,11 @@
 	script func(n int, id string, r backends.Request) (backends.Answer, error)
 	sent   []string
 	lefts  []time.Duration
+	// taken servers have no connection left.
+	taken map[string]bool
 }
 
-func (f *fakeBackends) Do(ctx context.Context, id, _ string, _ int, r backends.Request) (backends.Answer, error) {
+func (f *fakeBackends) Do(ctx context.Context, id, _ string, _ backends.Limits, r backends.Request) (backends.Answer, error) {
 	f.mu.Lock()
 	f.sent = append(f.sent, id)
 	millis, _ := strconv.Atoi(r.Header.Get("Request-Deadline"))
@@ -48,7 +50,12 @@
 	return answer, err
 }
 
-func (*fakeBackends) HasIdle(string, string) bool { return true }
+func (f *fakeBackends) Connections(id, _ string) (open, idle int) {
+	if f.taken[id] {
+		return 1000, 0
+	}
+	return 1, 1
+}
 
 type nobody struct{}
 
@@ -297,3 +304,85 @@
 	w.dispatcher.Estimator.Learn(time.Now(), "peer", []placement.Report{{Server: "k1", InFlight: 1, Factor: 2, Load: slow, HasLoad: true}})
 	require.Equal(t, 200, w.ask(t.Context(), "/keyed/x", "Shard-Key", "5").Status)
 }
+
+// Load: far more instances than a server accepts connections from for each. One
+// without a connection left is passed over, and that is no attempt.
+func TestServersWithoutAConnectionAreNoAttempt(t *testing.T) {
+	w := newWorld(func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil })
+	w.backends.taken = map[string]bool{"s1": true, "s2": true, "k1": true}
+	for range 10 {
+		require.Equal(t, 200, w.ask(t.Context(), "/unsafe/x").Status)
+	}
+	require.NotContains(t, w.backends.sent, "s1")
+	require.NotContains(t, w.backends.sent, "s2")
+	answer := w.ask(t.Context(), "/keyed/x", "Shard-Key", "5")
+	require.Equal(t, 503, answer.Status)
+	require.Len(t, w.backends.sent, 10)
+}
+
+// Load: servers that fall silent. A request that may be sent again is, in time for
+// the second server to answer; one that must run once waits for its server.
+func TestSilentServerIsGivenUpInTime(t *testing.T) {
+	for path, want := range map[string]int{"/safe/x": 200, "/unsafe/x": 504} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(nil)
+			w.dispatcher.Backends = silentFirst{w.backends}
+			began := time.Now()
+			require.Equal(t, want, w.ask(t.Context(), path).Status)
+			if want == 200 {
+				// Two requests of 150 ms fit before the deadline of 1.2 s.
+				require.LessOrEqual(t, time.Since(began), 900*time.Millisecond)
+			}
+		})
+	}
+}
+
+// silentFirst never answers the first attempt.
+type silentFirst struct{ *fakeBackends }
+
+func (f silentFirst) Do(ctx context.Context, id, address string, limits backends.Limits, r backends.Request) (backends.Answer, error) {
+	if len(f.sent) == 0 {
+		f.sent = append(f.sent, id)
+		<-ctx.Done()
+		return backends.Answer{}, &backends.Error{IsSent: true, Reason: "answer", Cause: ctx.Err()}
+	}
+	f.script = func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil }
+	return f.fakeBackends.Do(ctx, id, address, limits, r)
+}
+
+// Load: a burst at eighty instances that all know the same: one server is idle and
+// 39 are half used. Were it the choice of all, its queue would overflow before they
+// hear of each other's requests.
+func TestManyInstancesDoNotAllChooseTheSameServer(t *testing.T) {
+	const instances, servers = 80, 40
+	chosen := map[string]int{}
+	for i := range instances {
+		w := newWorld(func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil })
+		random := rand.New(rand.NewPCG(uint64(i), 1))
+		w.dispatcher.Random = random.Float64
+		events := []redwingstall.Event{}
+		reports := []placement.Report{}
+		for n := range servers {
+			id := "s" + strconv.Itoa(n+1)
+			events = append(events, redwingstall.EntryChanged{Entry: redwingstall.BackendEntry{ID: id, Service: "s", Slots: 4, Born: 1}})
+			reports = append(reports, placement.Report{Server: id, InFlight: min(n, 1) * 2, Factor: 1 + float64(min(n, 1))})
+		}
+		for n := range instances {
+			record, err := view.PeerRecord(view.Peer{Name: "p" + strconv.Itoa(n)})
+			require.NoError(t, err)
+			events = append(events, redwingstall.RecordChanged{Change: redwingstall.Change{Item: record}})
+		}
+		w.view.Apply(time.Now(), events, false)
+		w.dispatcher.Estimator.Learn(time.Now(), "others", reports)
+		require.Equal(t, 200, w.ask(t.Context(), "/unsafe/x").Status)
+		chosen[w.backends.sent[0]]++
+	}
+	require.Positive(t, chosen["s1"])
+	// Four slots and as many that wait, of which two are taken elsewhere.
+	require.Less(t, chosen["s1"], 16)
+	for id, n := range chosen {
+		if id != "s1" {
+			require.Less(t, n, 8, id)
+		}
+	}
+}
