First tries are told from returns by what clients of a first try differ in

Cause: clients wait 0.85 to 1 of the longest time seen for a first try; with a bound of 0.95 seven in ten requests of calm seconds counted as returned ones, with a latency objective up to 450 ms too short, and were let into any queue. Change: bound 0.85; the time gone is counted from the middle of the range.

--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -332,5 +332,5 @@
 	d.Log.Info("request", "id", j.meta.ID, "route", route, "service", j.service, "key", j.meta.Key, "status", answer.Status,
 		"reason", reason, "server", j.lastServer, "attempts", j.attempts, "tookMillis", took.Milliseconds(),
 		"waitedMillis", j.waited.Milliseconds(), "expectedMillis", j.expected.Milliseconds(), "queue", j.queue,
-		"isReturn", j.isReturn, "view", d.View.Snapshot().Age)
+		"isReturn", j.isReturn, "targetMillis", j.target.Sub(j.request.Arrived).Milliseconds(), "view", d.View.Snapshot().Age)
 }
--- a/internal/traffic/dispatch/patience.go
+++ b/internal/traffic/dispatch/patience.go
@@ -12,8 +12,13 @@
 	most map[string]time.Duration
 }
 
-// returnShare of the usual patience: clients of a first attempt differ by less.
-const returnShare = 0.95
+const (
+	// returnShare of the longest patience of a route: clients differ by less in
+	// what they wait for a first attempt.
+	returnShare = 0.85
+	// usualShare of the longest patience is the middle of a first attempt's.
+	usualShare = (1 + returnShare) / 2
+)
 
 // gone is the time that a client has waited before this request.
 func (p *patience) gone(route string, left time.Duration) time.Duration {
@@ -32,5 +37,5 @@
 	if float64(left) >= returnShare*float64(most) {
 		return 0
 	}
-	return most - left
+	return time.Duration(usualShare*float64(most)) - left
 }
