Servers that were replaced, and those that fail everybody, rest for all

Change: 421 makes a server of a pooled service rest at once; three failures in nearly as many recent attempts of all instances make it rest for all; the queue let to a pooled server is 1.6 rounds (2). Test: placement (replaced server).

--- a/internal/routing/placement/health.go
+++ b/internal/routing/placement/health.go
@@ -11,11 +11,18 @@
 	// restFor doubles with each further failure, up to maxRest.
 	restFor = 300 * time.Millisecond
 	maxRest = 2400 * time.Millisecond
+	// replacedFailures more make a rest of 1.2 s, in which service discovery mostly
+	// tells that another server has the address.
+	replacedFailures = 2
 	// tallyHalfLife of the counts that failure rates rest on: a server with six
 	// requests a second shows in it within two seconds.
 	tallyHalfLife = 2 * time.Second
 	// tallyPrior attempts without a failure are assumed of each server.
 	tallyPrior = 2.0
+	// failingRate of the attempts of all instances, and at least so many failures,
+	// make a server rest for all: it fails everything, or is not there any more.
+	failingRate   = 0.6
+	leastFailures = 3.0
 	// silentFactor times the expected completion without any answer makes a
 	// server silent: requests that take three times their mean are one in a
 	// hundred, and a server's neighbors may slow it down as much.
@@ -78,6 +85,9 @@
 	case Failed:
 		h.failures++
 		h.tally.add(now, true)
+		if o.IsReplaced {
+			h.failures = max(h.failures, failuresToRest+replacedFailures)
+		}
 		if h.failures >= failuresToRest {
 			h.restTill = now.Add(min(restFor<<min(h.failures-failuresToRest, 4), maxRest))
 		}
@@ -125,14 +135,25 @@
 	return longest >= max(LeastSilence, time.Duration(silentFactor*float64(expected)))
 }
 
+// isFailing reports whether nearly all recent attempts of all instances failed.
+func (s *state) isFailing(now time.Time) bool {
+	attempts, failures := s.tallies(now)
+	return failures >= leastFailures && failures > failingRate*(attempts+tallyPrior)
+}
+
 // failureRate of a server over all instances.
 func (s *state) failureRate(now time.Time) float64 {
-	attempts, failures := s.health.tally.at(now)
+	attempts, failures := s.tallies(now)
+	return failures / (attempts + tallyPrior)
+}
+
+func (s *state) tallies(now time.Time) (attempts, failures float64) {
+	attempts, failures = s.health.tally.at(now)
 	for _, t := range s.sources {
 		if t.isFresh(now) {
 			attempts += t.Attempts
 			failures += t.Failures
 		}
 	}
-	return failures / (attempts + tallyPrior)
+	return attempts, failures
 }
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -119,7 +119,7 @@
 	return Estimate{
 		Queue:       queue,
 		Completion:  completion,
-		IsResting:   s.health.isResting(now) || s.isSilent(now, completion),
+		IsResting:   s.health.isResting(now) || s.isFailing(now) || s.isSilent(now, completion),
 		FailureRate: s.failureRate(now),
 
 		ElsewhereOpen: s.elsewhereOpen(now),
@@ -241,6 +241,8 @@
 	Open int
 	// IsAnswered is set if the server sent anything.
 	IsAnswered bool
+	// IsReplaced is an address at which another server answers.
+	IsReplaced bool
 	// IsFull is a connection that was reset at once, as servers do whose queue
 	// is full.
 	IsFull bool
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -115,3 +115,18 @@
 	e.End(after(11002), "added", candidate, Outcome{Kind: Served, Took: 2 * time.Millisecond, IsAnswered: true})
 	require.InDelta(t, 100, e.ServiceWork("s").Milliseconds(), 5)
 }
+
+// Load: servers that were killed come back under another id while the old entry is
+// still listed. Whoever asks for the old one gets an answer at once, which must not
+// draw more requests there.
+func TestReplacedServerRestsAtOnceAndSoonForAll(t *testing.T) {
+	e, other := &Estimator{}, &Estimator{}
+	e.Begin(after(0), "s1")
+	e.End(after(1), "r", candidate, Outcome{Kind: Failed, IsAnswered: true, IsReplaced: true})
+	require.True(t, e.Estimate(after(900), "r", candidate).IsResting)
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		other.Learn(after(10), name, []Report{{Server: "s1", Factor: 1, Attempts: 1, Failures: 1}})
+	}
+	require.True(t, other.Estimate(after(20), "r", candidate).IsResting)
+	require.False(t, other.Estimate(after(5000), "r", candidate).IsResting)
+}
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -19,7 +19,7 @@
 	// is shared by all instances, some servers reset what does not fit, and what
 	// others have sent is known a third of a second late.
 	ownerQueue  = 3.0
-	serverQueue = 2.0
+	serverQueue = 1.6
 	// farMessage is what another failure domain costs a request: a round trip of
 	// 2 ms, the bytes of its headers, often a new connection, and a queue that is
 	// known less well than those nearby.
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -251,9 +251,15 @@
 	took := time.Since(began)
 	verdict := judge(answer, err, attemptCtx.Err() != nil)
 	open, _ := d.Backends.Connections(server.ID, server.Address)
+	isKeyed := j.spec.Sharded && j.meta.HasKey
+	if verdict.isMisdirected && !isKeyed {
+		// Whoever has the address now, it is not the server of this id.
+		verdict.teaches = placement.Failed
+	}
 	d.Estimator.End(time.Now(), j.route.Name, c.candidate(), placement.Outcome{
 		Kind: verdict.teaches, Took: took, Queue: c.estimate.Queue, Load: answer.Meta.Load, HasLoad: answer.Meta.HasLoad,
-		Bytes: len(answer.Body), Open: open, IsAnswered: err == nil, IsFull: verdict.isReset && took < fullReset,
+		Bytes: len(answer.Body), Open: open, IsAnswered: err == nil,
+		IsReplaced: verdict.isMisdirected && !isKeyed, IsFull: verdict.isReset && took < fullReset,
 	})
 	d.Counter.Count("attempts." + verdict.name)
 	if server.FailureDomain != d.FailureDomain {
