Few looks at full servers; queues of 1.6 rounds for what runs once, 2.4 for the rest

Change: six looks in the own failure domain and six elsewhere; resting servers only where no other is usable; idempotent requests may queue 2.4 rounds, since 1.6 turned away downloads that had a second to spare. Tests: dispatch (resting servers, queue by kind).

--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
@@ -15,11 +16,13 @@
 
 const (
 	// ownerQueue times the slots is the most that the owner of a key is let queue,
-	// which has it alone; serverQueue is that of a server beside others. The queue
-	// is shared by all instances, some servers reset what does not fit, and what
-	// others have sent is known a third of a second late.
+	// which has it alone; serverQueue is that of a server beside others, and
+	// unsafeQueue that for requests which cannot be sent again. The queue is shared
+	// by all instances, some servers reset what does not fit, and what others have
+	// sent is known a third of a second late.
 	ownerQueue  = 3.0
-	serverQueue = 1.6
+	serverQueue = 2.4
+	unsafeQueue = 1.6
 	// farMessage is what another failure domain costs a request: a round trip of
 	// 2 ms, the bytes of its headers, often a new connection, and a queue that is
 	// known less well than those nearby.
@@ -63,8 +66,12 @@
 }
 
 // isFree reports whether a server has a place in its queue and a connection.
-func (c *choice) isFree() bool {
-	return c.hasConnection && c.estimate.Queue < serverQueue*float64(c.server.Slots)
+func (c *choice) isFree(kind redwingstall.RouteKind) bool {
+	rounds := serverQueue
+	if !kind.Idempotent() {
+		rounds = unsafeQueue
+	}
+	return c.hasConnection && c.estimate.Queue < rounds*float64(c.server.Slots)
 }
 
 func (c *choice) candidate() placement.Candidate {
@@ -100,15 +107,16 @@
 	if len(usable) == 0 {
 		return nil, refused{reason: ReasonNoServer, pause: noServerPause}
 	}
-	isReady := func(c *choice) bool { return d.isOpen(s, c.server, now) && c.isFree() && !c.estimate.IsResting }
-	best, soonest := d.sample(s, j, usable, now, isReady)
-	if best == nil {
+	isOpen := func(c *choice) bool { return d.isOpen(s, c.server, now) }
+	best, soonest := d.sample(s, j, usable, now, func(c *choice) bool { return isOpen(c) && !c.estimate.IsResting })
+	if best == nil && soonest == 0 {
 		// Resting servers are asked only if there is no other.
-		best, _ = d.sample(s, j, usable, now, func(c *choice) bool { return d.isOpen(s, c.server, now) && c.isFree() })
+		best, soonest = d.sample(s, j, usable, now, isOpen)
 	}
 	switch {
 	case best == nil:
-		return nil, refused{reason: ReasonOverload, pause: soonest / 2}
+		// No completion is known of cold servers that bear no more now.
+		return nil, refused{reason: ReasonOverload, pause: max(soonest/2, d.retryPause(j))}
 	case d.isTooLate(j, best, now):
 		return nil, refused{ReasonOverload, d.roomPause(j, best.estimate.Completion, now), best}
 	}
@@ -118,12 +126,11 @@
 	return best, refused{}
 }
 
-// sample looks at servers in random order, until it has found enough that are
-// acceptable in its own failure domain and in the others, and returns the best of
-// these with the earliest completion of all that it has looked at.
+// sample looks at servers in random order, at a few of its own failure domain and
+// of the others each, and returns the best one that is acceptable and has a place,
+// with the earliest completion of all acceptable ones, or zero if there is none.
 func (d *Dispatcher) sample(s *view.Snapshot, j *job, servers []*view.Server, now time.Time, isAcceptable func(*choice) bool) (best *choice, soonest time.Duration) {
-	wanted := sampleSize(len(s.Peers), len(servers))
-	near, far := 0, 0
+	near, far := newSampling(len(s.Peers), len(servers)), newSampling(len(s.Peers), len(servers))
 	bestCost := 0.0
 	for i := range servers {
 		k := i + int(d.Random()*float64(len(servers)-i))
@@ -132,17 +139,21 @@
 		if servers[i].FailureDomain == d.FailureDomain {
 			found = &near
 		}
-		if *found >= wanted {
+		if found.isDone() {
 			continue
 		}
 		c := d.assess(s, j, servers[i], now)
+		if !isAcceptable(c) {
+			continue
+		}
 		if soonest == 0 || c.estimate.Completion < soonest {
 			soonest = c.estimate.Completion
 		}
-		if !isAcceptable(c) {
+		found.looks--
+		if !c.isFree(j.route.Kind) {
 			continue
 		}
-		*found++
+		found.wanted--
 		if cost := d.cost(j, c); best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -157,16 +168,27 @@
 	// be the same one for all instances until they hear of each other's requests,
 	// which would overload it. (Mitzenmacher, How useful is old information?, 2000.)
 	fewChoices = 3
+	// fewLooks keep all instances from finding the last server with a place when
+	// the others are full.
+	fewLooks = 6
 )
 
-// sampleSize is how many servers are compared in a failure domain.
-func sampleSize(instances, servers int) int {
+// sampling is how many servers with a place are wanted, and how many are looked at
+// for them.
+type sampling struct {
+	wanted int
+	looks  int
+}
+
+func newSampling(instances, servers int) sampling {
 	if instances <= exactInstances {
-		return servers
+		return sampling{servers, servers}
 	}
-	return fewChoices
+	return sampling{fewChoices, fewLooks}
 }
 
+func (s sampling) isDone() bool { return s.wanted == 0 || s.looks == 0 }
+
 // noServerPause is about how long service discovery takes to tell of a server.
 const noServerPause = 400 * time.Millisecond
 
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -386,3 +386,32 @@
 		}
 	}
 }
+
+// Load: twice what the servers bear. Those with a free queue are few, and resting
+// ones are not asked in their place: the request is refused at once, as not run.
+func TestFullServersAreNotReplacedByRestingOnes(t *testing.T) {
+	w := newWorld(func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil })
+	now := time.Now()
+	w.dispatcher.Estimator.Learn(now, "peer", []placement.Report{
+		{Server: "s1", InFlight: 9, Factor: 1}, {Server: "s2", InFlight: 9, Factor: 1},
+		{Server: "s3", Factor: 1, Attempts: 9, Failures: 9},
+	})
+	answer := w.ask(t.Context(), "/unsafe/x")
+	require.Equal(t, 503, answer.Status)
+	require.NotEmpty(t, answer.Header.Get("Retry-After"))
+	require.Empty(t, w.backends.sent)
+}
+
+// Load: queues that may overflow before it is known. What can be sent again is let
+// in behind seven requests on four slots; what would be lost by a reset is told to
+// come back.
+func TestQueueLetToRequestsThatRunOnce(t *testing.T) {
+	w := newWorld(func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil })
+	reports := []placement.Report{}
+	for _, id := range []string{"s1", "s2", "s3"} {
+		reports = append(reports, placement.Report{Server: id, InFlight: 7, Factor: 1})
+	}
+	w.dispatcher.Estimator.Learn(time.Now(), "peer", reports)
+	require.Equal(t, 200, w.ask(t.Context(), "/safe/x").Status)
+	require.Equal(t, 503, w.ask(t.Context(), "/unsafe/x").Status)
+}
