--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -393,7 +393,8 @@
 	w := newWorld(func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil })
 	now := time.Now()
 	w.dispatcher.Estimator.Learn(now, "peer", []placement.Report{
-		{Server: "s1", InFlight: 9, Factor: 1}, {Server: "s2", InFlight: 9, Factor: 1},
+		{Server: "s1", InFlight: 9, Factor: 1},
+		{Server: "s2", InFlight: 9, Factor: 1},
 		{Server: "s3", Factor: 1, Attempts: 9, Failures: 9},
 	})
 	answer := w.ask(t.Context(), "/unsafe/x")
