--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -416,3 +416,33 @@
 	require.Equal(t, 200, w.ask(t.Context(), "/safe/x").Status)
 	require.Equal(t, 503, w.ask(t.Context(), "/unsafe/x").Status)
 }
+
+// An owner that drains, or whose failure domain is taken out, has its keys until
+// they have moved; after half of the platform's bound it gets no more requests.
+func TestOwnersThatLeaveAreServedForALimitedTime(t *testing.T) {
+	leaving := redwingstall.BackendEntry{ID: "k1", Service: "k", Slots: 4, Born: 1, FailureDomain: "z"}
+	draining := leaving
+	draining.Draining = true
+	for name, c := range map[string]struct {
+		event redwingstall.Event
+		limit time.Duration
+	}{
+		"drains":    {redwingstall.EntryChanged{Entry: draining}, time.Second},
+		"evacuated": {redwingstall.EvacuationChanged{FailureDomain: "z", IsActive: true}, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(func(int, string, backends.Request) (backends.Answer, error) { return signed(200), nil })
+				w.view.Apply(time.Now(), []redwingstall.Event{redwingstall.EntryChanged{Entry: leaving}}, false)
+				w.view.Apply(time.Now(), []redwingstall.Event{c.event}, false)
+				time.Sleep(c.limit - time.Millisecond)
+				require.Equal(t, 200, w.ask(t.Context(), "/keyed/x", "Shard-Key", "5").Status)
+				// A heartbeat that tells the same again does not prolong it.
+				w.view.Apply(time.Now(), []redwingstall.Event{c.event}, false)
+				time.Sleep(2 * time.Millisecond)
+				require.Equal(t, 503, w.ask(t.Context(), "/keyed/x", "Shard-Key", "5").Status)
+				require.Len(t, w.backends.sent, 1)
+			})
+		})
+	}
+}
