--- a/internal/routing/placement/health.go
+++ b/internal/routing/placement/health.go
@@ -118,6 +118,31 @@
 	return now.Sub(h.silentSince)
 }
 
+// RestReason says why a server rests.
+type RestReason string
+
+// The reasons of a rest.
+const (
+	RestNone RestReason = ""
+	// RestFailures in a row of this instance's attempts.
+	RestFailures RestReason = "failures"
+	// RestFailing is a server that fails all instances.
+	RestFailing RestReason = "failing"
+	RestSilent  RestReason = "silent"
+)
+
+func (s *state) restReason(now time.Time, expected time.Duration) RestReason {
+	switch {
+	case s.health.isResting(now):
+		return RestFailures
+	case s.isFailing(now):
+		return RestFailing
+	case s.isSilent(now, expected):
+		return RestSilent
+	}
+	return RestNone
+}
+
 // isSilent reports whether some instance has waited for far longer than expected
 // and none got an answer meanwhile: the server, or its machine, is gone.
 func (s *state) isSilent(now time.Time, expected time.Duration) bool {
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -42,6 +42,8 @@
 	load    redwingstall.ServerLoad
 	loadAt  time.Time
 	health  health
+	// rests is what the last estimate said.
+	rests bool
 	// told is set while the state has news for the other instances.
 	told bool
 	// sources are other instances, and failure domains as a whole.
@@ -96,6 +98,10 @@
 	IsResting bool
 	// ElsewhereOpen counts the connections that other instances have open.
 	ElsewhereOpen int
+	// HasChanged is set on the first estimate that differs in IsResting from the
+	// one before, with the reason of the rest.
+	HasChanged bool
+	Reason     RestReason
 	// FailureRate is the share of recent attempts, of all instances, that failed.
 	FailureRate float64
 }
@@ -105,6 +111,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.state(c.ID)
+	estimate := e.estimate(now, s, route, c)
+	estimate.HasChanged = estimate.IsResting != s.rests
+	s.rests = estimate.IsResting
+	return estimate
+}
+
+func (e *Estimator) estimate(now time.Time, s *state, route string, c Candidate) Estimate {
 	work := e.work[route]
 	if work == 0 {
 		work = presetWork
@@ -116,10 +129,12 @@
 	}
 	rounds := max(1, (queue+1)/float64(max(c.Slots, 1)))
 	completion := time.Duration(float64(work) * s.factorNow(now) * slowdown * rounds)
+	reason := s.restReason(now, completion)
 	return Estimate{
 		Queue:       queue,
 		Completion:  completion,
-		IsResting:   s.health.isResting(now) || s.isFailing(now) || s.isSilent(now, completion),
+		IsResting:   reason != RestNone,
+		Reason:      reason,
 		FailureRate: s.failureRate(now),
 
 		ElsewhereOpen: s.elsewhereOpen(now),
@@ -128,10 +143,10 @@
 
 // IsSilent reports whether a server answers nobody.
 func (e *Estimator) IsSilent(now time.Time, route string, c Candidate) bool {
-	estimate := e.Estimate(now, route, c)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.state(c.ID).isSilent(now, estimate.Completion)
+	s := e.state(c.ID)
+	return s.isSilent(now, e.estimate(now, s, route, c).Completion)
 }
 
 func (s *state) elsewhereOpen(now time.Time) int {
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -97,6 +97,9 @@
 func (d *Dispatcher) assess(s *view.Snapshot, j *job, server *view.Server, now time.Time) *choice {
 	c := &choice{server: server, viewAge: s.Age}
 	c.estimate = d.Estimator.Estimate(now, j.route.Name, c.candidate())
+	if c.estimate.HasChanged {
+		d.tellRest(c)
+	}
 	open, idle := d.Backends.Connections(server.ID, server.Address)
 	c.limits = connectionLimits(j.spec.MaxConnections, len(s.Peers), c.estimate.ElsewhereOpen)
 	c.hasIdle = idle > 0
@@ -104,6 +107,17 @@
 	return c
 }
 
+// tellRest logs that a server is taken to be unfit for requests, or fit again.
+func (d *Dispatcher) tellRest(c *choice) {
+	message, counter := "backend server fit again", "servers.fitAgain"
+	if c.estimate.IsResting {
+		message, counter = "backend server rests", "servers.rest"
+	}
+	d.Counter.Count(counter)
+	d.Log.Info(message, "server", c.server.ID, "service", c.server.Service, "reason", c.estimate.Reason, "failureRate", c.estimate.FailureRate,
+		"queue", c.estimate.Queue, "expectedMillis", c.estimate.Completion.Milliseconds(), "view", c.viewAge)
+}
+
 // connectionLimits bound an instance's connections to a server that accepts so
 // many from all. An instance may have more than its share while few are open.
 func connectionLimits(connections, instances, elsewhere int) backends.Limits {
