--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -19,27 +19,29 @@
 	}
 	isOpen := func(c *choice) bool { return d.isOpen(s, c.server, now) }
 	best, soonest := d.sample(s, j, usable, now, func(c *choice) bool { return isOpen(c) && !c.estimate.IsResting })
-	if best == nil && soonest == 0 {
+	if soonest == nil {
 		// Resting servers are asked only if there is no other.
 		best, soonest = d.sample(s, j, usable, now, isOpen)
 	}
 	switch {
+	case soonest == nil:
+		// All are cold and bear no more now.
+		return nil, refused{reason: ReasonOverload, pause: d.retryPause(j)}
 	case best == nil:
-		// No completion is known of cold servers that bear no more now.
-		return nil, refused{reason: ReasonOverload, pause: max(soonest/2, d.retryPause(j))}
+		return nil, refused{ReasonOverload, max(soonest.estimate.Completion/2, d.retryPause(j)), soonest}
 	case d.isTooLate(j, best, now):
 		return nil, refused{ReasonOverload, d.roomPause(j, best.estimate.Completion, now), best}
 	}
 	if !d.takePace(s, best.server, now) {
-		return nil, refused{ReasonOverload, soonest / 2, best}
+		return nil, refused{ReasonOverload, soonest.estimate.Completion / 2, best}
 	}
 	return best, refused{}
 }
 
 // sample looks at servers in random order, at a few of its own failure domain and
 // of the others each, and returns the best one that is acceptable and has a place,
-// with the earliest completion of all acceptable ones, or zero if there is none.
-func (d *Dispatcher) sample(s *view.Snapshot, j *job, servers []*view.Server, now time.Time, isAcceptable func(*choice) bool) (best *choice, soonest time.Duration) {
+// and the one that would complete soonest of all acceptable ones, full or not.
+func (d *Dispatcher) sample(s *view.Snapshot, j *job, servers []*view.Server, now time.Time, isAcceptable func(*choice) bool) (best, soonest *choice) {
 	near, far := newSampling(len(s.Peers), len(servers)), newSampling(len(s.Peers), len(servers))
 	bestCost := 0.0
 	for i := range servers {
@@ -56,8 +58,8 @@
 		if !isAcceptable(c) {
 			continue
 		}
-		if soonest == 0 || c.estimate.Completion < soonest {
-			soonest = c.estimate.Completion
+		if soonest == nil || c.estimate.Completion < soonest.estimate.Completion {
+			soonest = c
 		}
 		found.looks--
 		if !c.isFree(j.route.Kind) {
