Large news of servers, configurations and evacuations reach each instance directly

Change: only news of nothing but owner maps go through reporters. Test: peers.TestLargeNewsOfServersReachEachInstance, fails before.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -7,11 +7,14 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/node/settings"
@@ -35,9 +38,10 @@
 	maxServers = 48
 	maxKeys    = 100
 	maxBytes   = 64 << 10
-	// directNewsBytes go to each instance at once. Larger news, such as owner maps
-	// of 10 KB, cross between failure domains to the reporters only; whoever misses
-	// them sees it by the next ones.
+	// directNewsBytes go to each instance at once. Larger owner maps, of 10 KB and
+	// more, cross between failure domains to the reporters only; whoever misses them
+	// sees it by the next news. What has a bound in time goes to each one directly:
+	// servers that leave, configurations, evacuations.
 	directNewsBytes = 1200
 	// maxNewsBytes of a datagram; larger news are read from the store.
 	maxNewsBytes = 32 << 10
@@ -115,12 +119,17 @@
 		return
 	}
 	near, far := e.others()
-	if len(text) > directNewsBytes {
+	if len(text) > directNewsBytes && isMapsOnly(news) {
 		far = e.allReporters(far)
 	}
 	e.write(text, append(near, far...))
 }
 
+// isMapsOnly reports whether news are of nothing but owner maps.
+func isMapsOnly(news follow.News) bool {
+	return !slices.ContainsFunc(news.Changes, func(c redwingstall.Change) bool { return !strings.HasPrefix(c.Key, view.MapPrefix) })
+}
+
 // Run exchanges until the context ends.
 func (e *Exchange) Run(ctx context.Context) {
 	defer close(e.done)
--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
@@ -21,9 +24,11 @@
 func (noKeys) AddKeys(time.Time, string, []int) {}
 func (noKeys) TakeKeys() map[string][]int       { return nil }
 
-// fleet runs instances of two failure domains that know of one server.
-func fleet(t *testing.T, perDomain int) map[string]*placement.Estimator {
+// fleet runs instances of two failure domains that know of one server. Lost ones
+// are listed and do not run.
+func fleet(t *testing.T, perDomain int, lost ...string) (map[string]*placement.Estimator, map[string]*Exchange) {
 	t.Helper()
+	byName := map[string]*Exchange{}
 	log := slog.New(slog.DiscardHandler)
 	estimators := map[string]*placement.Estimator{}
 	exchanges := []*Exchange{}
@@ -38,6 +43,7 @@
 			estimators[name] = e
 			views = append(views, v)
 			exchanges = append(exchanges, x)
+			byName[name] = x
 			record, err := view.PeerRecord(x.Self())
 			require.NoError(t, err)
 			events = append(events, redwingstall.RecordChanged{Change: redwingstall.Change{Item: record}})
@@ -46,22 +52,26 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	for i, x := range exchanges {
 		views[i].Apply(time.Now(), events, false)
-		go x.Run(ctx)
+		if !slices.Contains(lost, x.self.Name) {
+			go x.Run(ctx)
+		}
 	}
 	t.Cleanup(func() {
 		cancel()
 		for _, x := range exchanges {
-			<-x.Done()
+			if !slices.Contains(lost, x.self.Name) {
+				<-x.Done()
+			}
 		}
 	})
-	return estimators
+	return estimators, byName
 }
 
 // Load: many instances in two failure domains. What one has in flight is known in
 // its own domain by itself and in the other one through the reporters.
 func TestLoadCrossesFailureDomainsThroughReporters(t *testing.T) {
 	const perDomain = farFrom + 2
-	estimators := fleet(t, perDomain)
+	estimators, _ := fleet(t, perDomain)
 	for range 3 {
 		estimators["a13"].Begin(time.Now(), "s1")
 	}
@@ -123,3 +133,22 @@
 	e.take(time.Now(), datagram{From: "a1", Keys: map[string][]int{"s": {7}}}, nil, relay)
 	require.Equal(t, map[string][]int{"s": {7}}, e.domainKeys.take())
 }
+
+// Load: many servers change at one moment, some of them leave, and both reporters
+// of another failure domain are lost without being missed yet. Its instances must
+// hear of the servers that leave all the same.
+func TestLargeNewsOfServersReachEachInstance(t *testing.T) {
+	const perDomain = farFrom + 2
+	_, exchanges := fleet(t, perDomain, "b00", "b01")
+	entry := redwingstall.Change{Item: redwingstall.Item{Key: "servers/s1", Revision: 9, Value: []byte(strings.Repeat("x", 2*directNewsBytes))}}
+	ownerMap := entry
+	ownerMap.Key = view.MapPrefix + "s"
+	exchanges["a00"].Tell(follow.News{After: 8, At: 9, Changes: []redwingstall.Change{entry, ownerMap}})
+	select {
+	case news := <-exchanges["b07"].News():
+		require.Len(t, news.Changes, 2)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "news not heard")
+	}
+
+}
