--- a/internal/fleet/peers/peers_test.go
+++ b/internal/fleet/peers/peers_test.go
@@ -150,5 +150,4 @@
 	case <-time.After(5 * time.Second):
 		require.Fail(t, "news not heard")
 	}
-
 }
