An instance that hears news of the store does not take it for away

Cause: an instance that the store turned away once, in a call for news that it had missed, counted the store as away until its next call of its own, and one that only listens makes none. Entries that were removed meanwhile were kept as suspect, and their servers got requests. Change: news count as an answer of the store. Test: follow.TestInstanceThatHearsNewsDoesNotTakeTheStoreForAway, fails before.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -256,6 +256,9 @@
 	defer timer.Stop()
 	select {
 	case news := <-f.relay.News():
+		// Who tells news has just had an answer of the store. An instance that was
+		// turned away itself must not keep servers that have left.
+		f.view.StoreBack(time.Now())
 		at := redwingstall.Revision(news.At)
 		switch {
 		case at <= f.revision:
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -275,3 +275,19 @@
 		require.Equal(t, 6, f.know("x"))
 	})
 }
+
+// Found on a deployment: the store turned an instance away once, when it asked for
+// news that it had missed. It went on hearing news, took the store for away, and
+// kept servers whose entries were removed.
+func TestInstanceThatHearsNewsDoesNotTakeTheStoreForAway(t *testing.T) {
+	play(t, func(f *fleet) {
+		f.store.put("servers/x", "ready")
+		time.Sleep(time.Second)
+		require.Equal(t, 6, f.know("x"))
+		f.views["c2"].StoreLost(errCut)
+		time.Sleep(3 * time.Second)
+		f.store.put("servers/x", "")
+		time.Sleep(time.Second)
+		require.Zero(t, f.know("x"))
+	})
+}
