--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -88,7 +88,7 @@
 	if time.Until(j.deadline) < leastTime {
 		return nil, refused{reason: ReasonTimeout}
 	}
-	if j.spec.Sharded && j.meta.HasKey {
+	if j.isKeyed() {
 		return d.chooseOwner(ctx, j)
 	}
 	return d.choosePooled(j)
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -123,6 +123,9 @@
 	waited  time.Duration
 }
 
+// isKeyed reports whether only the owner of its key may run the request.
+func (j *job) isKeyed() bool { return j.spec.Sharded && j.meta.HasKey }
+
 // Serve returns the final answer. The context ends when the client leaves.
 func (d *Dispatcher) Serve(ctx context.Context, request Request) backends.Answer {
 	j := &job{request: request, tried: map[string]bool{}}
@@ -153,7 +156,7 @@
 	j.isReturn = gone > 0
 	j.target = j.request.Arrived.Add(j.route.Target - gone)
 	d.Budget.Count(j.request.Arrived, j.service)
-	if j.spec.Sharded && meta.HasKey {
+	if j.isKeyed() {
 		d.Keys.CountKey(j.request.Arrived, j.service, meta.Key)
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
@@ -251,7 +254,7 @@
 	took := time.Since(began)
 	verdict := judge(answer, err, attemptCtx.Err() != nil)
 	open, _ := d.Backends.Connections(server.ID, server.Address)
-	isKeyed := j.spec.Sharded && j.meta.HasKey
+	isKeyed := j.isKeyed()
 	if verdict.isMisdirected && !isKeyed {
 		// Whoever has the address now, it is not the server of this id.
 		verdict.teaches = placement.Failed
--- a/internal/traffic/dispatch/silence.go
+++ b/internal/traffic/dispatch/silence.go
@@ -13,8 +13,7 @@
 // mayGiveUp reports whether another server can stand in for the one that a request
 // is about to be sent to.
 func (d *Dispatcher) mayGiveUp(j *job) bool {
-	isKeyed := j.spec.Sharded && j.meta.HasKey
-	return !isKeyed && j.route.Kind.Idempotent() && j.attempts < j.route.MaxAttempts
+	return !j.isKeyed() && j.route.Kind.Idempotent() && j.attempts < j.route.MaxAttempts
 }
 
 // cancelOnSilence ends the attempt once its server answers no instance any more,
