Keep SIGHUP from ending a process that drains

The settings watcher ended with the stop signal and called signal.Stop, after which SIGHUP had its default action: the process died with its requests. `serve` never handled SIGHUP, and a second SIGTERM ended it at once.

Ruled out: the drain itself (no connection ends before the SIGHUP), the grace time (6 s), a crash (nothing on standard error, exit without a log).

Test first: TestSignalsWhileDrainingCutNoRequest runs the program as a process and sends SIGTERM, then SIGHUP and SIGTERM three times, beside kept and pipelined connections, a half read head, a half read body and a new connection. Before: "unexpected EOF" for the kept connection. After: all answered, exit status 0, "stopped" logged.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -238,21 +238,43 @@
 }
 
 // Serve runs an entry instance until SIGTERM or SIGINT, and then shuts it down. A
-// second signal exits without waiting for the shutdown.
+// second SIGINT exits without waiting for the shutdown.
 func Serve(s settings.Settings, logs io.Writer) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	d, err := NewDaemon(NewCommon(s, logs))
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d.Start()
-	<-signals
+	awaitStopSignal(signals, d.common.Log)
 	go func() {
-		<-signals
-		d.common.Log.Warn("second signal received, exiting immediately")
+		awaitForcedStop(signals, d.common.Log)
 		os.Exit(ExitRefused)
 	}()
 	d.Close()
 	return nil
 }
+
+// awaitStopSignal returns after SIGTERM or SIGINT. The settings of a running instance
+// cannot change, so that SIGHUP is only logged.
+func awaitStopSignal(signals <-chan os.Signal, log *slog.Logger) {
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			return
+		}
+		log.Warn("SIGHUP ignored, settings are read at start only")
+	}
+}
+
+// awaitForcedStop returns after SIGINT. Process managers repeat SIGTERM and send SIGHUP
+// to a process that is draining, which must not cut its requests.
+func awaitForcedStop(signals <-chan os.Signal, log *slog.Logger) {
+	for received := range signals {
+		if received == syscall.SIGINT {
+			log.Warn("SIGINT while shutting down, exiting immediately")
+			return
+		}
+		log.Info("signal ignored while shutting down", "signal", received.String())
+	}
+}
--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -32,14 +32,14 @@
 	queue := logqueue.NewWriter(stdout)
 	defer queue.Close()
 	log := slog.New(slog.NewJSONHandler(queue, nil)).With("instance", node.Name)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	watcher := newSettingsWatcher(file, log)
 	g, err := gateway.NewGateway(node, platform.NewAdapters(node), log)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	watcher := &settingsWatcher{file: file, log: log, done: make(chan struct{})}
-	go watcher.run(ctx)
+	go watcher.run(g.Done())
 	g.Run(ctx)
 	<-watcher.done
 	return nil
@@ -49,25 +49,32 @@
 // logs the result. It applies no settings: those of an instance on a platform cannot
 // change while it runs. An invalid file is logged before it prevents the next start.
 type settingsWatcher struct {
-	file string
-	log  *slog.Logger
-	done chan struct{}
+	file    string
+	log     *slog.Logger
+	hangups chan os.Signal
+	done    chan struct{}
+}
+
+// newSettingsWatcher handles SIGHUP from now on until the process ends. The default
+// action would end a process that is still draining.
+func newSettingsWatcher(file string, log *slog.Logger) *settingsWatcher {
+	w := &settingsWatcher{file: file, log: log, hangups: make(chan os.Signal, 1), done: make(chan struct{})}
+	signal.Notify(w.hangups, syscall.SIGHUP)
+	return w
 }
 
 // settingsPollInterval is the interval at which the modification time is checked.
 const settingsPollInterval = 2 * time.Second
 
-func (w *settingsWatcher) run(ctx context.Context) {
+// run checks the file until the instance has stopped.
+func (w *settingsWatcher) run(stopped <-chan struct{}) {
 	defer close(w.done)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastModified := w.modifiedAt()
 	for {
 		select {
-		case <-hangups:
+		case <-w.hangups:
 			w.check("signal")
 			lastModified = w.modifiedAt()
 		case <-ticker.C:
@@ -75,7 +82,7 @@
 				lastModified = modified
 				w.check("file changed")
 			}
-		case <-ctx.Done():
+		case <-stopped:
 			return
 		}
 	}
--- /dev/null
+++ b/test/plannedstop/plannedstop_test.go
@@ -0,0 +1,205 @@
+// Package plannedstop_test stops the program under load by signals, as a platform does.
+// The program runs as a separate process; store and backend server are stand-ins.
+package plannedstop_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/app"
+	"github.com/redwingstall/redwingstall/platform/platformtest"
+)
+
+// programVariable is the environment variable that makes the test binary run as the
+// program.
+const programVariable = "REDWINGSTALL_PLANNED_STOP_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(programVariable) != "" {
+		os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	// ip is an address of the loopback network that no other test listens on, so that
+	// fixed ports are free.
+	ip           = "127.78.0.1"
+	frontAddress = ip + ":8641"
+	readyAddress = ip + ":8640"
+	peerPort     = 7620
+	// waitLimit bounds each wait of the test. It is far above what any step takes.
+	waitLimit = 30 * time.Second
+	// work outlasts all signals of the test.
+	work = 1500 * time.Millisecond
+)
+
+// deployment is one instance with its stand-ins.
+type deployment struct {
+	t       *testing.T
+	ledger  *platformtest.Ledger
+	process *exec.Cmd
+	logs    *logBuffer
+}
+
+// logBuffer collects the output of a process.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+func deploy(t *testing.T) *deployment {
+	d := &deployment{t: t, ledger: platformtest.NewLedger(), logs: &logBuffer{}}
+	store := platformtest.NewStore()
+	storeServer := httptest.NewServer(store)
+	t.Cleanup(storeServer.Close)
+	server, err := platformtest.NewServer(d.ledger, platformtest.Server{
+		ID: "charges-1", StartedAtMillis: 1, Service: "charges", FailureDomain: "north", Slots: 16, Work: work,
+	})
+	require.NoError(t, err)
+	t.Cleanup(server.Crash)
+	store.Configure(redwingstall.Configuration{
+		Version: 1,
+		Routes: []redwingstall.Route{{
+			Name: "charge", Host: "h", Prefix: "/charge/", Kind: redwingstall.KindUnsafe, Timeout: waitLimit, Target: waitLimit,
+			MaxAttempts: 1, Parts: []redwingstall.WeightedService{{Service: "charges", Weight: 1}},
+		}, {
+			Name: "read", Host: "h", Prefix: "/read/", Kind: redwingstall.KindSafe, Timeout: waitLimit, Target: waitLimit,
+			MaxAttempts: 1, Parts: []redwingstall.WeightedService{{Service: "charges", Weight: 1}},
+		}},
+		Services: map[string]redwingstall.ServiceSpec{"charges": {Name: "charges", HealthPath: "/health", MaxConnections: 100, WarmupRate: 100}},
+		Limits:   redwingstall.CallerLimits{HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: waitLimit, IdleTimeout: waitLimit},
+	})
+	store.Register(server, server.Address(), false)
+	d.start(strings.TrimPrefix(storeServer.URL, "http://"))
+	require.Eventually(t, func() bool { return d.readiness() == http.StatusOK }, waitLimit, 10*time.Millisecond)
+	return d
+}
+
+func (d *deployment) start(store string) {
+	settings := filepath.Join(d.t.TempDir(), "boot.conf")
+	text := platformtest.Settings("entry-1", ip, "north", frontAddress, readyAddress, peerPort, store) + "bounds=grace_s=20\n"
+	require.NoError(d.t, os.WriteFile(settings, []byte(text), 0o600))
+	d.process = exec.Command(os.Args[0], "gateway", "--settings", settings)
+	d.process.Env = append(os.Environ(), programVariable+"=1")
+	d.process.Stdout, d.process.Stderr = d.logs, d.logs
+	require.NoError(d.t, d.process.Start())
+	d.t.Cleanup(func() { _ = d.process.Process.Kill() })
+}
+
+// readiness returns the status of the readiness check, or zero if nothing answers.
+func (d *deployment) readiness() int {
+	response, err := http.Get("http://" + readyAddress + "/-/readiness")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func (d *deployment) signal(s syscall.Signal) {
+	require.NoError(d.t, d.process.Process.Signal(s))
+}
+
+// caller is a client connection.
+type caller struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (d *deployment) connect() *caller {
+	conn, err := net.Dial("tcp", frontAddress)
+	require.NoError(d.t, err)
+	require.NoError(d.t, conn.SetDeadline(time.Now().Add(waitLimit)))
+	d.t.Cleanup(func() { _ = conn.Close() })
+	return &caller{d.t, conn, bufio.NewReader(conn)}
+}
+
+func (c *caller) send(text string) {
+	_, err := io.WriteString(c.conn, text)
+	require.NoError(c.t, err)
+}
+
+func (c *caller) requireAnswer(id string) *http.Response {
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.t, err, "answer to %s", id)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(c.t, err, "answer to %s", id)
+	require.Equal(c.t, http.StatusOK, response.StatusCode, "answer to %s", id)
+	require.Contains(c.t, string(body), id)
+	return response
+}
+
+func get(id string) string {
+	return fmt.Sprintf("GET /read/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Deadline: 25000\r\n\r\n", id)
+}
+
+func postHead(id string, length int) string {
+	return fmt.Sprintf("POST /charge/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nRequest-Deadline: 25000\r\nContent-Length: %d\r\n\r\n", id, length)
+}
+
+// Guards against requests that are cut off by a planned stop. A platform repeats
+// SIGTERM, and sends SIGHUP when the settings change, also to a process that is
+// draining already.
+func TestSignalsWhileDrainingCutNoRequest(t *testing.T) {
+	d := deploy(t)
+	kept, pipelined, halfHead, halfBody := d.connect(), d.connect(), d.connect(), d.connect()
+	kept.send(get("kept-1"))
+	kept.requireAnswer("kept-1")
+	kept.send(get("kept-2"))
+	pipelined.send(get("pipelined-1") + get("pipelined-2") + get("pipelined-3"))
+	halfHead.send("GET /read/x HTTP/1.1\r\nHos")
+	halfBody.send(postHead("half-body", 4) + "ab")
+	require.Eventually(t, func() bool { return d.ledger.ExecutedRequestCount() == 5 }, waitLimit, time.Millisecond)
+
+	d.signal(syscall.SIGTERM)
+	require.Eventually(t, func() bool { return d.readiness() == http.StatusServiceUnavailable }, waitLimit, time.Millisecond)
+	for range 3 {
+		d.signal(syscall.SIGHUP)
+		d.signal(syscall.SIGTERM)
+	}
+	late := d.connect()
+	late.send(postHead("late", 2) + "ok")
+	halfHead.send("t: h\r\nRequest-Id: half-head\r\nRequest-Deadline: 25000\r\n\r\n")
+	halfBody.send("cd")
+
+	kept.requireAnswer("kept-2")
+	for _, id := range []string{"pipelined-1", "pipelined-2", "pipelined-3"} {
+		pipelined.requireAnswer(id)
+	}
+	halfHead.requireAnswer("half-head")
+	halfBody.requireAnswer("half-body")
+	require.True(t, late.requireAnswer("late").Close)
+	require.NoError(t, d.process.Wait(), "exit status after SIGTERM")
+	require.Contains(t, d.logs.String(), `"msg":"stopped"`)
+	require.Empty(t, d.ledger.Violations())
+}
