--- a/pkg/journal/journal.go
+++ b/pkg/journal/journal.go
@@ -360,7 +360,7 @@
 	defer j.mu.Unlock()
 	names := []string{}
 	for name, w := range j.writers {
-		if len(w.abandoned) > 0 && !w.isRunning {
+		if len(w.abandoned) > 0 {
 			names = append(names, name)
 		}
 	}
--- a/pkg/journal/journal_test.go
+++ b/pkg/journal/journal_test.go
@@ -169,6 +169,39 @@
 	})
 }
 
+// TestSweepReleasesBucketThatIsBeingWritten guards against a key that stays blocked
+// because other starts keep its bucket's writer busy when the sweep runs.
+func TestSweepReleasesBucketThatIsBeingWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const writeTime = 10 * time.Millisecond
+		store := newStore()
+		store.delay = writeTime
+		store.fault = func() (bool, bool) { return store.swaps <= 2, store.swaps == 1 }
+		ctx := t.Context()
+		j := newJournal(store, "a", allAlive)
+		other := "k0"
+		for n := 0; journal.BucketOf(other, 2) != journal.BucketOf("k", 2); n++ {
+			other = fmt.Sprint("k", n)
+		}
+		starts := sync.WaitGroup{}
+		starts.Go(func() {
+			_, _, err := j.Start(ctx, requestFor("k"))
+			require.True(t, errors.Is(err, journal.ErrUnavailable))
+		})
+		time.Sleep(writeTime / 2)
+		starts.Go(func() {
+			_, _, err := j.Start(ctx, requestFor(other))
+			require.True(t, errors.Is(err, journal.ErrUnavailable))
+		})
+		time.Sleep(writeTime)
+		j.Sweep(ctx) // the write of the other key is in flight, and will fail
+		verdict, _, err := newJournal(store, "b", allAlive).Start(ctx, requestFor("k"))
+		require.NoError(t, err)
+		require.Equal(t, journal.VerdictRun, verdict, "the key is free for other instances")
+		starts.Wait()
+	})
+}
+
 // TestGroupCommit checks that starts which arrive during a write of their bucket share
 // the next write.
 func TestGroupCommit(t *testing.T) {
