Run unknown kinds of route at most once

Now only safe and download requests may be repeated; an unknown kind is logged when its configuration comes into force.

Found beside it: a signed 503, 429, 408 or 421 without Not-Executed was passed on for requests that run at most once, though nothing proves that they did not run. They end with 502 now. Idempotent requests keep the server's answer.

--- a/gateway.go
+++ b/gateway.go
@@ -17,10 +17,18 @@
 	KindUnsafe RouteKind = "unsafe"
 	// KindDownload requests are idempotent and have large responses.
 	KindDownload RouteKind = "download"
+	// KindUpload requests have large bodies and run at most once for each client attempt.
+	KindUpload RouteKind = "upload"
 )
 
-// IsIdempotent reports whether a request of this kind may run more than once.
-func (k RouteKind) IsIdempotent() bool { return k != KindUnsafe }
+// IsIdempotent reports whether a request of this kind may run more than once. A request
+// of an unknown kind may not.
+func (k RouteKind) IsIdempotent() bool { return k == KindSafe || k == KindDownload }
+
+// IsKnown reports whether the kind is one of those defined here.
+func (k RouteKind) IsKnown() bool {
+	return k.IsIdempotent() || k == KindUnsafe || k == KindUpload
+}
 
 // WeightedService is one service of a route and its weight in the traffic split.
 type WeightedService struct {
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -261,6 +261,11 @@
 	next.Config = &c
 	next.Routes = table.NewTable(c.Routes)
 	v.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes))
+	for _, r := range c.Routes {
+		if !r.Kind.IsKnown() {
+			v.log.Warn("unknown kind of route, its requests run at most once", "version", c.Version, "route", r.Name, "kind", string(r.Kind))
+		}
+	}
 }
 
 func (v *View) setEvacuation(now time.Time, next *Snapshot, domain string, isActive bool) {
--- a/internal/traffic/dispatch/attempt_result.go
+++ b/internal/traffic/dispatch/attempt_result.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 )
@@ -29,7 +30,7 @@
 
 // classifyAttempt classifies the response or error of an attempt. A request that was
 // sent counts as not executed only if the server says so.
-func classifyAttempt(answer backends.Response, err error, isCanceled bool) attemptResult {
+func classifyAttempt(answer backends.Response, err error, isCanceled bool, kind redwingstall.RouteKind) attemptResult {
 	attemptError := &backends.Error{}
 	switch {
 	case errors.As(err, &attemptError) && !attemptError.IsSent:
@@ -56,8 +57,20 @@
 		// Without a signature, the error response could not be distinguished from
 		// one of the router's own, which makes stronger promises about execution.
 		return attemptResult{name: "unsignedFailure", mayHaveRun: true, outcome: placement.Failed}
+	case !kind.IsIdempotent() && promisesNotExecuted(answer.Status):
+		return attemptResult{name: "unprovenRefusal", mayHaveRun: true, outcome: placement.Failed}
 	case answer.Status >= http.StatusInternalServerError:
 		return attemptResult{name: "serverError", isFailure: true, mayHaveRun: true, outcome: placement.Failed}
 	}
 	return attemptResult{name: "success", isFinal: true, outcome: placement.Served}
 }
+
+// promisesNotExecuted reports whether clients take a status as the promise that the
+// request did not run and never will.
+func promisesNotExecuted(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -264,7 +264,7 @@
 		Header: header, Body: j.request.Body, HasBody: j.request.HasBody, ID: j.meta.ID,
 	})
 	took := time.Since(began)
-	result := classifyAttempt(answer, err, attemptCtx.Err() != nil)
+	result := classifyAttempt(answer, err, attemptCtx.Err() != nil, j.route.Kind)
 	open, _ := d.Backends.Connections(server.ID, server.Address)
 	isKeyed := j.isKeyed()
 	if result.isMisdirected && !isKeyed {
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -92,7 +92,10 @@
 	}
 	return redwingstall.Configuration{
 		Version: 1,
-		Routes:  []redwingstall.Route{route("safe", redwingstall.KindSafe, "s"), route("unsafe", redwingstall.KindUnsafe, "s"), route("keyed", redwingstall.KindSafe, "k")},
+		Routes: []redwingstall.Route{
+			route("safe", redwingstall.KindSafe, "s"), route("unsafe", redwingstall.KindUnsafe, "s"), route("keyed", redwingstall.KindSafe, "k"),
+			route("download", redwingstall.KindDownload, "s"), route("upload", redwingstall.KindUpload, "s"), route("unknown", "stream", "s"),
+		},
 		Services: map[string]redwingstall.ServiceSpec{
 			"s": {Name: "s", MaxConnections: 100, WarmupRate: 5.7},
 			"k": {Name: "k", MaxConnections: 100, WarmupRate: 5.7, Sharded: true},
@@ -163,6 +166,20 @@
 		"unsafeOtherServer":    {"/unsafe/x", []result{{answer: misdirected}, ok}, 200, 2},
 		"safeResetTwice":       {"/safe/x", []result{{err: reset}, {err: reset}}, 502, 2},
 		"clientError":          {"/safe/x", []result{{answer: signed(404)}}, 404, 1},
+		"downloadAfterReset":   {"/download/x", []result{{err: reset}, ok}, 200, 2},
+		"uploadAfterReset":     {"/upload/x", []result{{err: reset}, ok}, 502, 1},
+		"uploadShed":           {"/upload/x", []result{{answer: shed}, ok}, 200, 2},
+		"uploadServerError":    {"/upload/x", []result{{answer: signed(500)}, ok}, 500, 1},
+		"unknownAfterReset":    {"/unknown/x", []result{{err: reset}, ok}, 502, 1},
+		"unknownServerError":   {"/unknown/x", []result{{answer: signed(500)}, ok}, 500, 1},
+		// Without Not-Executed, a status that promises that the request did not run is
+		// not passed on for a request that must not run twice.
+		"unsafeUnproven503": {"/unsafe/x", []result{{answer: signed(503)}, ok}, 502, 1},
+		"unsafeUnproven429": {"/unsafe/x", []result{{answer: signed(429)}, ok}, 502, 1},
+		"unsafeUnproven408": {"/unsafe/x", []result{{answer: signed(408)}, ok}, 502, 1},
+		"unsafeUnproven421": {"/unsafe/x", []result{{answer: signed(421)}, ok}, 502, 1},
+		"safeUnproven503":   {"/safe/x", []result{{answer: signed(503)}, ok}, 200, 2},
+		"safeUnproven429":   {"/safe/x", []result{{answer: signed(429)}}, 429, 1},
 		"noRoute":              {"/none/x", nil, 404, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
