Repair missed updates from peers; split large ones; register before loading

Of the calls beyond load, lease and record: 111 of 289 logged on 52 instances followed truncated updates (above 32 KB, each instance then reads the same from the store), 58 the changes between an instance's first read and its record, the others updates lost on the watchers' links (30 KB to each of 294 instances occupy 200 Mbit/s for 350 ms).

Change: an update is split between revisions instead of truncated; a member that misses changes asks a reporter of its domain and the store only if that did not help within 80 ms; above 100 far instances larger updates travel through the reporters, which forward one copy; an instance reads the store once its own record is there, so that it misses nothing. A repair does not say that the store is available.

Ruled out: the queue of updates (64) overflowing; campaigns (one "leader" line).

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -46,6 +46,13 @@
 	// heartbeatTimeout is the time without updates after which an instance watches the
 	// store itself: three lost heartbeats in a row.
 	heartbeatTimeout = 500 * time.Millisecond
+	// repairTimeout is how long an instance waits for another one to send the changes that
+	// it misses, before it reads them from the store.
+	repairTimeout = 80 * time.Millisecond
+	// registrationTimeout bounds the wait for the instance's own record, whose write may
+	// fail. registrationDelay is the time in which the watchers learn of it.
+	registrationTimeout = 400 * time.Millisecond
+	registrationDelay   = 120 * time.Millisecond
 	// catchUpPollTimeout bounds the call that fetches changes missing from updates.
 	catchUpPollTimeout = 20 * time.Millisecond
 )
@@ -59,12 +66,18 @@
 	Changes []redwingstall.Change
 	// IsTruncated is set if the changes were left out because they exceed the size limit.
 	IsTruncated bool
+	// IsRepair is set if another instance sent the changes on request, which does not say
+	// that the store is available.
+	IsRepair bool
 }
 
 // Relay carries updates between instances. Delivery is not guaranteed.
 type Relay interface {
 	Broadcast(update Update)
 	Updates() <-chan Update
+	// RequestRepair asks another instance for the changes after a revision, which arrive
+	// as an update. It returns false if there is none to ask.
+	RequestRepair(after int64) bool
 }
 
 // Follower keeps a view in sync with the metadata store.
@@ -83,6 +96,12 @@
 	lastConfirmed time.Time
 	// retryAt is the earliest time of the next call after a failure.
 	retryAt time.Time
+	// history are the last changes, for other instances.
+	history history
+	// repairRevision is the revision from which a repair was requested last, at
+	// repairRequestedAt.
+	repairRevision    redwingstall.Revision
+	repairRequestedAt time.Time
 	// isFallbackActive is set while the instance watches the store itself because it
 	// receives no updates.
 	isFallbackActive bool
@@ -96,9 +115,18 @@
 // Done returns a channel that is closed when Run returns.
 func (f *Follower) Done() <-chan struct{} { return f.done }
 
-// Run keeps the view in sync until the context ends.
-func (f *Follower) Run(ctx context.Context) {
+// Run keeps the view in sync until the context ends. It starts soon after the instance's
+// own record is written, so that the watchers send it the changes made from then on.
+// Otherwise it would miss those made between its first read of the store and its record.
+func (f *Follower) Run(ctx context.Context, registered <-chan struct{}) {
 	defer close(f.done)
+	waitCtx, cancel := context.WithTimeout(ctx, registrationTimeout)
+	select {
+	case <-registered:
+		sleep(waitCtx, registrationDelay)
+	case <-waitCtx.Done():
+	}
+	cancel()
 	for ctx.Err() == nil {
 		if err := f.loadAll(ctx); err != nil {
 			f.handleLoadError(ctx, err)
@@ -138,6 +166,7 @@
 	}
 	f.view.Apply(time.Now(), f.decode(changes), true)
 	f.revision = revision
+	f.history.reset(revision)
 	f.log.Info("loaded all records from the store", "revision", revision, "items", len(items))
 	return nil
 }
@@ -252,8 +281,8 @@
 	received := false
 	for {
 		select {
-		case <-f.relay.Updates():
-			received = true
+		case update := <-f.relay.Updates():
+			received = received || !update.IsRepair
 		default:
 			return received
 		}
@@ -269,7 +298,9 @@
 		// The sender has just had an answer from the store, so the store is available,
 		// even if it refused this instance's own call. Treating it as unavailable would
 		// keep servers whose entries were removed.
-		f.view.MarkStoreAvailable(time.Now())
+		if !update.IsRepair {
+			f.view.MarkStoreAvailable(time.Now())
+		}
 		at := redwingstall.Revision(update.UpTo)
 		switch {
 		case at <= f.revision:
@@ -278,6 +309,10 @@
 			f.apply(update.Changes, at)
 			return nil
 		}
+		if f.awaitsRepair(time.Now()) {
+			return nil
+		}
+		f.log.Info("update incomplete, reading changes from the store", "revision", f.revision, "after", update.After, "upTo", update.UpTo, "isTruncated", update.IsTruncated)
 		return f.catchUp(ctx)
 	case <-timer.C:
 		if !f.isFallbackActive && !f.isWatcher() {
@@ -289,6 +324,22 @@
 	return nil
 }
 
+// awaitsRepair reports whether another instance may still send the changes after the
+// current revision. It requests them once for each revision.
+func (f *Follower) awaitsRepair(now time.Time) bool {
+	if f.repairRevision == f.revision {
+		return now.Sub(f.repairRequestedAt) < repairTimeout
+	}
+	f.repairRevision, f.repairRequestedAt = f.revision, now
+	return f.relay.RequestRepair(int64(f.revision))
+}
+
+// ChangesSince returns the changes after a revision for another instance, or false if it
+// knows none or has not kept all of them. It is safe for concurrent use.
+func (f *Follower) ChangesSince(after int64) (Update, bool) {
+	return f.history.since(redwingstall.Revision(after))
+}
+
 func (f *Follower) catchUp(ctx context.Context) error {
 	changes, at, err := f.store.Watch(ctx, "", f.revision, catchUpPollTimeout)
 	if err != nil {
@@ -305,6 +356,7 @@
 	applied := f.revision
 	newer := slices.DeleteFunc(slices.Clone(changes), func(c redwingstall.Change) bool { return c.Revision <= applied })
 	f.revision = max(applied, at)
+	f.history.add(newer, f.revision)
 	if len(newer) == 0 {
 		return false
 	}
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -135,6 +136,10 @@
 	queues  map[string]chan Update
 	isLossy bool
 	sent    int
+	// followers answer requests for repairs, in turn, if hasRepairs is set.
+	followers  []*Follower
+	hasRepairs bool
+	repairs    int
 }
 
 func (h *fakeNetwork) relay(name string) *fakeRelay {
@@ -170,6 +175,27 @@
 	}
 }
 
+func (b *fakeRelay) RequestRepair(after int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.hasRepairs {
+		return false
+	}
+	b.repairs++
+	update, found := b.followers[b.repairs%len(b.followers)].ChangesSince(after)
+	if found {
+		b.queues[b.name] <- update
+	}
+	return true
+}
+
+// alreadyRegistered returns the channel of an instance whose record is written.
+func alreadyRegistered() <-chan struct{} {
+	registered := make(chan struct{})
+	close(registered)
+	return registered
+}
+
 type fleet struct {
 	store   *fakeStore
 	network *fakeNetwork
@@ -188,7 +214,9 @@
 	for _, name := range names {
 		v := view.NewView(log, 2*time.Second)
 		f.views[name] = v
-		go NewFollower(name, f.store.connect(name), testDecoder{}, v, f.network.relay(name), log).Run(ctx)
+		follower := NewFollower(name, f.store.connect(name), testDecoder{}, v, f.network.relay(name), log)
+		f.network.followers = append(f.network.followers, follower)
+		go follower.Run(ctx, alreadyRegistered())
 	}
 	time.Sleep(3 * time.Second)
 	return f
@@ -241,6 +269,78 @@
 	})
 }
 
+// Guards against a fleet in which each instance asks the store for the same changes when
+// updates are lost. An instance asks another one first, and the store if that one does not
+// know them either.
+func TestLostUpdatesAreRepairedByOtherInstances(t *testing.T) {
+	calls := map[bool]int{}
+	for _, hasRepairs := range []bool{false, true} {
+		runFleet(t, func(f *fleet) {
+			f.network.mu.Lock()
+			f.network.isLossy, f.network.hasRepairs = true, hasRepairs
+			f.network.mu.Unlock()
+			f.store.mu.Lock()
+			f.store.calls = 0
+			f.store.mu.Unlock()
+			for i := range 30 {
+				f.store.put(fmt.Sprint("servers/x", i), "ready")
+				time.Sleep(300 * time.Millisecond)
+			}
+			time.Sleep(time.Second)
+			require.Equal(t, 6, f.countKnowing("x29"))
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			calls[hasRepairs] = f.store.calls
+		})
+	}
+	require.Less(t, calls[true], calls[false]*3/4)
+}
+
+// Guards against an instance that takes an outage of the store as over because another
+// instance repaired its view.
+func TestRepairDoesNotMarkTheStoreAvailable(t *testing.T) {
+	log := slog.New(slog.DiscardHandler)
+	network := &fakeNetwork{queues: map[string]chan Update{}}
+	v := view.NewView(log, time.Second)
+	f := NewFollower("a", nil, testDecoder{}, v, network.relay("a"), log)
+	entry := redwingstall.Change{Item: redwingstall.Item{Key: "servers/x", Revision: 1, Value: []byte("ready")}}
+	f.apply([]redwingstall.Change{entry}, 1)
+	v.MarkStoreUnavailable(errDisconnected)
+	network.queues["a"] <- Update{After: 1, UpTo: 2, IsRepair: true, Changes: []redwingstall.Change{{Item: redwingstall.Item{Key: "servers/x", Revision: 2}, Deleted: true}}}
+	require.NoError(t, f.receiveUpdate(t.Context()))
+	require.True(t, v.Snapshot().ByID["x"].IsSuspect, "the entry may have expired in the outage")
+}
+
+func TestHistory(t *testing.T) {
+	h := &history{}
+	_, found := h.since(0)
+	require.False(t, found)
+	h.reset(10)
+	for r := redwingstall.Revision(11); r <= 20; r++ {
+		h.add([]redwingstall.Change{{Item: redwingstall.Item{Key: "a", Revision: r}}, {Item: redwingstall.Item{Key: "b", Revision: r}}}, r)
+	}
+	for _, after := range []int64{9, 20, 21} {
+		_, found = h.since(redwingstall.Revision(after))
+		require.False(t, found, after)
+	}
+	update, found := h.since(17)
+	require.True(t, found)
+	require.EqualValues(t, 17, update.After)
+	require.EqualValues(t, 20, update.UpTo)
+	require.Len(t, update.Changes, 6)
+	require.EqualValues(t, 18, update.Changes[0].Revision)
+
+	// The history forgets whole revisions only.
+	for r := redwingstall.Revision(21); r <= 20+maxHistory; r++ {
+		h.add([]redwingstall.Change{{Item: redwingstall.Item{Key: "a", Revision: r}}}, r)
+	}
+	_, found = h.since(19)
+	require.False(t, found)
+	update, found = h.since(20)
+	require.True(t, found)
+	require.Len(t, update.Changes, maxHistory)
+}
+
 // Guards against watchers that keep sending heartbeats after a silent partition from
 // the store. Found on a deployment: all watchers were partitioned and kept reporting
 // that nothing had changed, so no other instance called the store.
--- a/internal/fleet/peers/datagram.go
+++ b/internal/fleet/peers/datagram.go
@@ -22,6 +22,8 @@
 	Domain string
 	// IsTotal is set if Loads are the sums of all failure domains.
 	IsTotal bool
+	// RepairAfter is the revision after which the sender misses changes, or zero.
+	RepairAfter int64
 }
 
 // loadTable encodes reports as rows of fixed length: the short id of the server in 32
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -7,15 +7,12 @@
 	"log/slog"
 	"net"
 	"net/netip"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/node/settings"
@@ -41,16 +38,7 @@
 	// receivers less, and the next sums replace one that is lost.
 	maxSumsPerDatagram = 1000
 	maxKeysPerDatagram = 100
-	receiveBufferBytes  = 64 << 10
-	// maxDirectUpdateBytes is the size up to which an update is always sent to each
-	// instance directly. Larger updates that hold only owner maps, of 10 KB and more,
-	// cross to other failure domains through the reporters only; an instance that misses
-	// one detects the gap by the next update. Updates with a time bound are always sent
-	// directly: servers that leave, configurations, evacuations.
-	maxDirectUpdateBytes = 1200
-	// maxUpdateBytes bounds the update in a datagram. The changes of a larger one are read
-	// from the store.
-	maxUpdateBytes = 32 << 10
+	receiveBufferBytes = 64 << 10
 )
 
 // KeySink counts the keys of requests.
@@ -78,7 +66,9 @@
 	count     func(name string, n int64)
 	log       *slog.Logger
 	updates   chan follow.Update
-	done      chan struct{}
+	// changesSince returns the changes after a revision for another instance.
+	changesSince func(after int64) (follow.Update, bool)
+	done         chan struct{}
 	// domainKeys holds the keys requested at this instance and those near it, for the
 	// other failure domains.
 	domainKeys keyBuffer
@@ -89,6 +79,9 @@
 	topologyOf      *view.Snapshot
 	currentTopology *topology
 
+	// forwardedRevision is the revision up to which updates were forwarded. Only the
+	// receiving goroutine uses it.
+	forwardedRevision int64
 	// indexedSnapshot is the snapshot that idsByShortID was built from.
 	indexedSnapshot *view.Snapshot
 	idsByShortID    map[uint32]string
@@ -126,33 +119,6 @@
 // Updates returns the updates received from instances that watch the store.
 func (e *Exchange) Updates() <-chan follow.Update { return e.updates }
 
-// Broadcast broadcasts an update of the store to all other instances. Those in other
-// failure domains may get a large one through their reporters.
-func (e *Exchange) Broadcast(update follow.Update) {
-	message := datagram{From: e.self.Name, Update: &update}
-	encoded, err := cbor.Marshal(message)
-	if err == nil && len(encoded) > maxUpdateBytes {
-		update.Changes, update.IsTruncated = nil, true
-		encoded, err = cbor.Marshal(message)
-	}
-	if err != nil {
-		e.log.Error("datagram encoding failed", "error", err.Error())
-		return
-	}
-	t := e.topology()
-	e.writeDatagram(encoded, t.near)
-	for _, p := range t.far {
-		if len(encoded) <= maxDirectUpdateBytes || !hasOnlyOwnerMaps(update) || t.farReporters[p.Name] {
-			e.writeDatagram(encoded, []view.Peer{p})
-		}
-	}
-}
-
-// hasOnlyOwnerMaps reports whether all changes of an update are owner maps.
-func hasOnlyOwnerMaps(update follow.Update) bool {
-	return !slices.ContainsFunc(update.Changes, func(c redwingstall.Change) bool { return !strings.HasPrefix(c.Key, view.MapPrefix) })
-}
-
 // Run exchanges load until the context ends.
 func (e *Exchange) Run(ctx context.Context) {
 	defer close(e.done)
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -37,6 +37,9 @@
 	if message.Update != nil {
 		e.handleUpdate(t, message, raw, isRelayed)
 	}
+	if message.RepairAfter > 0 {
+		e.repair(message.RepairAfter, sender)
+	}
 	if message.Domain == "" || !isRelayed {
 		e.countKeys(now, t, message)
 	}
@@ -64,9 +67,16 @@
 	case e.updates <- *message.Update:
 	default: // the queue is full; the next update reveals the gap
 	}
-	if isRelayed || len(raw) <= maxDirectUpdateBytes {
+	if isRelayed || len(raw) <= maxDirectUpdateBytes || message.Update.IsRepair {
 		return
 	}
+	if t.hasSums {
+		// Both watchers send the same changes; one copy is enough.
+		if message.Update.UpTo <= e.forwardedRevision {
+			return
+		}
+		e.forwardedRevision = message.Update.UpTo
+	}
 	if t.isReporter && slices.ContainsFunc(t.far, func(p view.Peer) bool { return p.Name == message.From }) {
 		e.writeDatagram(raw, t.near)
 	}
--- a/internal/fleet/peers/topology.go
+++ b/internal/fleet/peers/topology.go
@@ -16,6 +16,10 @@
 	// the reporters, which send the sums of the whole deployment to the others: the
 	// messages of a domain then grow with its instances, not with their square.
 	domainMeshLimit = 32
+	// directUpdateLimit is the number of peers in other failure domains up to which an
+	// instance sends them its larger updates directly. Beyond it, one update of 30 KB to
+	// each would occupy a link of 200 Mbit/s for longer than the updates may take.
+	directUpdateLimit = 100
 	// reportersPerDomain is the number of instances that send the load sums of their
 	// failure domain and forward those of the others. There are two since one may fail.
 	reportersPerDomain = 2
--- a/internal/fleet/presence/presence.go
+++ b/internal/fleet/presence/presence.go
@@ -37,6 +37,9 @@
 	clock       func() time.Duration
 	log         *slog.Logger
 	done        chan struct{}
+	// acquired is closed when the record was first written.
+	acquired     chan struct{}
+	acquiredOnce sync.Once
 
 	mu         sync.Mutex
 	lease      int64
@@ -46,12 +49,15 @@
 // NewLease returns a lease that is not yet acquired; Run acquires it. The clock must
 // advance while the machine is suspended.
 func NewLease(store redwingstall.MetadataStore, record redwingstall.Item, isExclusive bool, ttl time.Duration, clock func() time.Duration, log *slog.Logger) *Lease {
-	return &Lease{store: store, record: record, isExclusive: isExclusive, ttl: ttl, clock: clock, log: log, done: make(chan struct{})}
+	return &Lease{store: store, record: record, isExclusive: isExclusive, ttl: ttl, clock: clock, log: log, done: make(chan struct{}), acquired: make(chan struct{})}
 }
 
 // Done returns a channel that is closed when Run returns.
 func (l *Lease) Done() <-chan struct{} { return l.done }
 
+// Acquired returns a channel that is closed when the record was first written.
+func (l *Lease) Acquired() <-chan struct{} { return l.acquired }
+
 // Lease returns the lease id, and true while the lease is certainly valid at the
 // store.
 func (l *Lease) Lease() (int64, bool) {
@@ -121,6 +127,7 @@
 	}
 	l.log.Info("lease opened", "key", record.Key, "lease", lease, "ttl", l.ttl.String())
 	l.setLease(lease, sentAt)
+	l.acquiredOnce.Do(func() { close(l.acquired) })
 	return nil
 }
 
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -83,6 +83,7 @@
 		return nil, err
 	}
 	g.follower = follow.NewFollower(node.Name, platform.Store, platform.Decoder, g.view, g.exchange, log)
+	g.exchange.ServeRepairs(g.follower.ChangesSince)
 	g.presence = presence.NewLease(platform.Store, record, false, presenceTTL, boottime.Now, log)
 	g.leader = leader.NewLeader(leader.Config{
 		Name: node.Name, Store: platform.Store, OwnerClient: platform.OwnerClient, View: g.view,
@@ -202,7 +203,7 @@
 	defer stop()
 	leaderCtx, resign := context.WithCancel(componentCtx)
 	defer resign()
-	g.background.Go(func() { g.follower.Run(componentCtx) })
+	g.background.Go(func() { g.follower.Run(componentCtx, g.presence.Acquired()) })
 	g.background.Go(func() { g.presence.Run(componentCtx) })
 	g.background.Go(func() { g.leader.Run(leaderCtx) })
 	g.background.Go(func() { g.exchange.Run(componentCtx) })
--- a/internal/ownership/leader/leader_test.go
+++ b/internal/ownership/leader/leader_test.go
@@ -24,6 +24,7 @@
 type isolatedRelay struct{}
 
 func (isolatedRelay) Broadcast(follow.Update)       {}
+func (isolatedRelay) RequestRepair(int64) bool      { return false }
 func (isolatedRelay) Updates() <-chan follow.Update { return nil }
 
 // fixedLoad reports no key rates, and the same capacity for every server.
@@ -80,7 +81,9 @@
 		Clock: boottime.Now, MaxGrantTTL: 10 * time.Second, Log: log,
 	})
 	follower := follow.NewFollower(name, store, platform.Decoder{}, c.view, isolatedRelay{}, log)
-	go follower.Run(ctx)
+	registered := make(chan struct{})
+	close(registered)
+	go follower.Run(ctx, registered)
 	go c.leader.Run(ctx)
 	b.t.Cleanup(func() {
 		cancel()
