Spread hot keys of large services within four seconds

The leader wrote the map each 1.5 s there (5 ms for each of 295 instances, for its link), a move takes two writes, and 16 ranges could move at a time.

Change: maps travel through reporters in large fleets, so that at most 400 ms lie between two writes; in services above 128 servers one range for each 8 servers may move at the same time.

Ruled out: the meters (a second) and the order of moves (halving is enough).

--- a/internal/ownership/assign/rebalance.go
+++ b/internal/ownership/assign/rebalance.go
@@ -18,8 +18,11 @@
 	// served for as long as the longest request that runs on them.
 	minMoveLimit   = 4
 	serversPerMove = 2
-	// maxMoveLimit bounds how many changes the instances must receive at one time.
-	maxMoveLimit = 16
+	// maxMoveLimit bounds how many changes the instances must receive at one time. In a
+	// service of more than maxMoveLimit*serversPerLargeMove servers, the limit grows with
+	// the servers: the hot keys of a large service need as many new owners.
+	maxMoveLimit        = 16
+	serversPerLargeMove = 8
 	// minSourceUtilization is the utilization above which keys are moved away. Moves
 	// below it cost more service than they gain: requests for the moved keys wait until
 	// the running ones have ended.
@@ -140,7 +143,7 @@
 	}
 	c := newTargetChooser(*draft, cluster)
 	changed := false
-	for maxMoves := min(max(minMoveLimit, len(c.candidates)/serversPerMove), maxMoveLimit); moving < maxMoves; moving++ {
+	for maxMoves := moveLimit(len(c.candidates)); moving < maxMoves; moving++ {
 		if !a.rebalanceOnce(draft, c) {
 			break
 		}
@@ -149,6 +152,11 @@
 	return changed
 }
 
+// moveLimit returns how many ranges of a service may move at the same time.
+func moveLimit(servers int) int {
+	return min(max(minMoveLimit, servers/serversPerMove), max(maxMoveLimit, servers/serversPerLargeMove))
+}
+
 // rebalanceOnce moves keys away from the most utilized server whose load can be reduced.
 // A server whose load is a single key is passed over.
 func (a *Assigner) rebalanceOnce(draft *shardmap.Map, c *targetChooser) bool {
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -28,8 +28,12 @@
 	LeaseTTL = 3 * time.Second
 	// writeIntervalPerInstance is the minimum interval between two writes of a map, for
 	// each instance that receives the map: a map of 300 ranges takes 8 KB, and 80
-	// instances receive 2 MB/s at most.
+	// instances receive 2 MB/s at most. In larger fleets a map spreads through the
+	// reporters of the failure domains, so that its sender's link no longer bounds the
+	// writes: maxWriteInterval bounds how long hot keys wait for a move, which takes two
+	// writes.
 	writeIntervalPerInstance = 5 * time.Millisecond
+	maxWriteInterval         = 400 * time.Millisecond
 	// usageLogInterval is how often the load of the servers is logged. maxLoggedServers
 	// is how many of the most utilized servers a log line lists.
 	usageLogInterval = 2 * time.Second
@@ -403,7 +407,7 @@
 		state.usageLoggedAt = now
 		l.logUsage(name, state, cluster)
 	}
-	if state.isWriting || now-state.writeStartedAt < time.Duration(len(s.Peers))*writeIntervalPerInstance {
+	if state.isWriting || now-state.writeStartedAt < writeInterval(len(s.Peers)) {
 		return true
 	}
 	if draft, changed := state.assigner.Plan(now, cluster); changed || state.isRevisionUnknown {
@@ -414,6 +418,11 @@
 	return true
 }
 
+// writeInterval returns the minimum interval between two writes of a map.
+func writeInterval(instances int) time.Duration {
+	return min(time.Duration(instances)*writeIntervalPerInstance, maxWriteInterval)
+}
+
 // logUsage logs the load of the servers, from which moves of keys are decided.
 func (l *Leader) logUsage(name string, state *serviceState, cluster assign.ClusterState) {
 	usages := state.assigner.ServerUsages(cluster)
