Look up sums of all instances when a server is estimated

Cause: of the exchange's processor time at 294 instances (profile of the budget test), 38% merged each row of the sums into the state of each server, 6.6 times a second for 810 servers, though an instance looks at about a hundred servers a second.

Change: the sums are sorted by short id and kept as they were received; a report is merged when its server is next estimated.

--- a/internal/fleet/peers/datagram.go
+++ b/internal/fleet/peers/datagram.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"math"
+	"sort"
 	"time"
 
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
@@ -70,21 +71,37 @@
 func decodeReports(table loadTable, idsByShortID map[uint32]string) []placement.Report {
 	reports := make([]placement.Report, 0, table.rows())
 	for n := range table.rows() {
-		row := table[n*loadRowBytes:]
-		id, found := idsByShortID[binary.LittleEndian.Uint32(row)]
-		if !found {
-			continue // the server is not in this instance's view yet
+		if id, found := idsByShortID[table.id(n)]; found { // else it is not in this instance's view yet
+			reports = append(reports, table.report(n, id))
 		}
-		column := func(i int) int { return int(binary.LittleEndian.Uint16(row[4+2*i:])) }
-		r := placement.Report{
-			Server: id, InFlight: column(0), OpenConnections: column(1), LatencyFactor: float64(column(2)) / percent,
-			HasLoad: column(5) > 0, LoadAge: time.Duration(column(7)) * time.Millisecond,
-			Attempts: float64(column(8)) / tenths, Failures: float64(column(9)) / tenths,
-			UnansweredTime: time.Duration(column(10)) * time.Millisecond, Sources: column(11),
-		}
-		r.Load.Running, r.Load.Waiting, r.Load.Slots = column(3), column(4), column(5)
-		r.Load.Slowdown = float64(column(6)) / percent
-		reports = append(reports, r)
 	}
 	return reports
 }
+
+// id returns the short id of the server of a row.
+func (t loadTable) id(row int) uint32 { return binary.LittleEndian.Uint32(t[row*loadRowBytes:]) }
+
+// report decodes a row, whose server has the given id.
+func (t loadTable) report(row int, id string) placement.Report {
+	columns := t[row*loadRowBytes+4:]
+	column := func(i int) int { return int(binary.LittleEndian.Uint16(columns[2*i:])) }
+	r := placement.Report{
+		Server: id, InFlight: column(0), OpenConnections: column(1), LatencyFactor: float64(column(2)) / percent,
+		HasLoad: column(5) > 0, LoadAge: time.Duration(column(7)) * time.Millisecond,
+		Attempts: float64(column(8)) / tenths, Failures: float64(column(9)) / tenths,
+		UnansweredTime: time.Duration(column(10)) * time.Millisecond, Sources: column(11),
+	}
+	r.Load.Running, r.Load.Waiting, r.Load.Slots = column(3), column(4), column(5)
+	r.Load.Slowdown = float64(column(6)) / percent
+	return r
+}
+
+// Find returns the report about a server. The rows must be sorted by short id.
+func (t loadTable) Find(server string) (placement.Report, bool) {
+	id := shortID(server)
+	row := sort.Search(t.rows(), func(n int) bool { return t.id(n) >= id })
+	if row == t.rows() || t.id(row) != id {
+		return placement.Report{}, false
+	}
+	return t.report(row, server), true
+}
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -46,10 +46,12 @@
 	if message.Loads.rows() == 0 {
 		return
 	}
+	if message.IsTotal {
+		e.estimator.MergeTotalReports(now, message.Loads)
+		return
+	}
 	reports := decodeReports(message.Loads, e.serverIDs())
 	switch {
-	case message.IsTotal:
-		e.estimator.MergeTotalReports(now, reports)
 	case message.Domain == "":
 		e.estimator.MergeReports(now, message.From, reports)
 	default:
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -50,6 +50,8 @@
 	wasEjected bool
 	// reported is what was last reported to other instances.
 	reported reported
+	// totalAt is when the sums of all instances were received that are merged.
+	totalAt time.Time
 	// hasUnreported is set while there are changes to report to the other instances.
 	hasUnreported bool
 	// reports are the last ones of other instances, and of failure domains as a whole,
@@ -68,6 +70,8 @@
 type Estimator struct {
 	mu      sync.Mutex
 	servers map[string]*serverState
+	// totals are the last tables with sums of all instances, the newest last.
+	totals []receivedTable
 	// executionTimes are the mean execution times by route.
 	executionTimes map[string]time.Duration
 	// serviceExecutionTimes are the same by service, over all of its routes.
@@ -125,6 +129,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.server(c.ID)
+	e.mergeTotal(s, c.ID)
 	estimate := e.estimate(now, s, route, c)
 	estimate.HasEjectionChanged = estimate.IsEjected != s.wasEjected
 	s.wasEjected = estimate.IsEjected
@@ -160,6 +165,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.server(c.ID)
+	e.mergeTotal(s, c.ID)
 	return s.isUnresponsive(now, e.estimate(now, s, route, c).Completion)
 }
 
@@ -337,7 +343,9 @@
 func (e *Estimator) LatencyFactor(now time.Time, id string) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.server(id).mergedLatencyFactor(now)
+	s := e.server(id)
+	e.mergeTotal(s, id)
+	return s.mergedLatencyFactor(now)
 }
 
 // RemoveUnlisted removes servers that are not listed and have no request in flight.
--- a/internal/routing/placement/report.go
+++ b/internal/routing/placement/report.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingstall/redwingstall"
@@ -157,24 +158,57 @@
 	e.mergeReports(now, "domain "+domain, reports, scopeDomain)
 }
 
+// ReportTable finds the report about a server.
+type ReportTable interface {
+	Find(server string) (Report, bool)
+}
+
+// receivedTable is a table with sums of all instances.
+type receivedTable struct {
+	ReportTable
+	receivedAt time.Time
+}
+
 // MergeTotalReports merges the sums of all instances, which include what this one last
-// reported.
-func (e *Estimator) MergeTotalReports(now time.Time, reports []Report) {
-	e.mergeReports(now, "total", reports, scopeTotal)
+// reported. A report is looked up when its server is next estimated, since an instance
+// sends requests to few of the servers between two tables.
+func (e *Estimator) MergeTotalReports(now time.Time, table ReportTable) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.totals = slices.DeleteFunc(e.totals, func(t receivedTable) bool { return now.Sub(t.receivedAt) >= maxReportAge })
+	e.totals = append(e.totals, receivedTable{table, now})
+}
+
+// mergeTotal merges the newest sums about a server, unless that is done already.
+func (e *Estimator) mergeTotal(s *serverState, id string) {
+	for _, table := range slices.Backward(e.totals) {
+		if !table.receivedAt.After(s.totalAt) {
+			return
+		}
+		r, found := table.Find(id)
+		if !found {
+			continue
+		}
+		s.totalAt = table.receivedAt
+		r.InFlight = max(r.InFlight-s.reported.inFlight, 0)
+		r.OpenConnections = max(r.OpenConnections-s.reported.openConnections, 0)
+		s.merge(table.receivedAt, "total", r, scopeTotal)
+		return
+	}
 }
 
 func (e *Estimator) mergeReports(now time.Time, source string, reports []Report, scope reportScope) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, r := range reports {
-		s := e.server(r.Server)
-		if scope == scopeTotal {
-			r.InFlight = max(r.InFlight-s.reported.inFlight, 0)
-			r.OpenConnections = max(r.OpenConnections-s.reported.openConnections, 0)
-		}
-		s.reports[source] = receivedReport{r, now, scope}
-		if measuredAt := now.Add(-r.LoadAge); r.HasLoad && measuredAt.After(s.loadAt) {
-			s.load, s.loadAt = r.Load, measuredAt
-		}
+		e.server(r.Server).merge(now, source, r, scope)
+	}
+}
+
+// merge replaces the last report from a source.
+func (s *serverState) merge(now time.Time, source string, r Report, scope reportScope) {
+	s.reports[source] = receivedReport{r, now, scope}
+	if measuredAt := now.Add(-r.LoadAge); r.HasLoad && measuredAt.After(s.loadAt) {
+		s.load, s.loadAt = r.Load, measuredAt
 	}
 }
