Keep owners of keys in use that fail some of their requests

Two in a row ejected an owner of keys for 0.3 s, doubling to 2.4 s, and requests for its keys were refused ("overload", 160 in four seconds before, up to 880 then), or ended with 502 after one attempt, though no other server can run them.

Ruled out: the retry budget (2 of 302 requests were at 2 attempts, no "retries.refused.budget").

--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -517,3 +517,29 @@
 		})
 	}
 }
+
+// Guards against an owner of keys that is taken out of use for each pair of lost answers,
+// though no other server can serve its keys. The owner loses two of five answers and
+// serves 20 requests a second. A lookup is sent again, so that at most one in four
+// requests (two lost answers in a row, and some luck) may end without an answer.
+func TestOwnerThatLosesAnswersStaysInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(7, 7))
+		w := newFixture(func(int, string, backends.Request) (backends.Response, error) {
+			time.Sleep(60 * time.Millisecond)
+			if random.Float64() < 0.4 {
+				return backends.Response{}, reset
+			}
+			return signed(200), nil
+		})
+		const requests = 200
+		served := 0
+		for range requests {
+			if w.get(t.Context(), "/keyed/x", "Shard-Key", "5").Status == 200 {
+				served++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.GreaterOrEqual(t, served, requests*3/4)
+	})
+}
--- a/internal/traffic/dispatch/owner.go
+++ b/internal/traffic/dispatch/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
+	"github.com/redwingstall/redwingstall/internal/routing/placement"
 )
 
 // chooseOwner selects the owner of the key. While the key is being reassigned it
@@ -67,12 +68,18 @@
 // server can run them.
 func (d *Dispatcher) admitOwner(s *view.Snapshot, j *job, c *choice, now time.Time) (*choice, rejection) {
 	isFull := !c.hasConnection || c.estimate.QueueLength >= ownerQueuePerSlot*float64(c.server.Slots)
-	if d.shouldShed(j, c, now) || isFull || c.estimate.IsEjected || !d.takeWarmupCapacity(s, c.server, now) {
+	if d.shouldShed(j, c, now) || isFull || isOwnerLost(c) || !d.takeWarmupCapacity(s, c.server, now) {
 		return nil, rejection{ReasonOverload, d.overloadRetryAfter(j, c.estimate.Completion, now), c}
 	}
 	return c, rejection{}
 }
 
+// isOwnerLost reports whether an owner of keys serves nobody. One that fails some of its
+// requests stays in use, since no other server can run them.
+func isOwnerLost(c *choice) bool {
+	return c.estimate.IsEjected && c.estimate.Reason != placement.EjectionFailures
+}
+
 // isLeaveOverdue reports whether an owner of keys has drained, or its failure domain
 // has been evacuated, for so long that its keys should have moved. It then receives
 // no more requests.
