Ask for a repair also at revision zero

The first request of a follower that has read nothing was taken for one that was sent already; only a test starts there. Found by TestLostUpdatesAreRepairedByOtherInstances, which failed on 20 of 20 runs and passes 20 of 20 now.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -327,7 +327,7 @@
 // awaitsRepair reports whether another instance may still send the changes after the
 // current revision. It requests them once for each revision.
 func (f *Follower) awaitsRepair(now time.Time) bool {
-	if f.repairRevision == f.revision {
+	if f.repairRevision == f.revision && !f.repairRequestedAt.IsZero() {
 		return now.Sub(f.repairRequestedAt) < repairTimeout
 	}
 	f.repairRevision, f.repairRequestedAt = f.revision, now
