--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -32,9 +33,10 @@
 		RequireExplicitExec: true,
 		Setup:               setUp,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"ask":    ask,
-			"await":  await,
-			"expand": expand,
+			"ask":       ask,
+			"await":     await,
+			"awaitText": awaitText,
+			"expand":    expand,
 		},
 	})
 }
@@ -133,3 +135,20 @@
 	}
 	ts.Fatalf("no status %s at %s within %v", args[0], args[1], awaitTimeout)
 }
+
+// awaitText waits until the answer of one of the URLs matches a regular expression:
+// awaitText REGEXP URL...
+func awaitText(ts *testscript.TestScript, _ bool, args []string) {
+	pattern, err := regexp.Compile(args[0])
+	ts.Check(err)
+	deadline := time.Now().Add(awaitTimeout)
+	for time.Now().Before(deadline) {
+		for _, url := range args[1:] {
+			if _, text, err := send(http.MethodGet, url, nil); err == nil && pattern.MatchString(text) {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	ts.Fatalf("no text %s at %v within %v", args[0], args[1:], awaitTimeout)
+}
