--- a/internal/fleet/peers/datagram.go
+++ b/internal/fleet/peers/datagram.go
@@ -1,12 +1,15 @@
 package peers
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash/fnv"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
+	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 )
@@ -31,9 +34,28 @@
 // bits, then loadColumns numbers of 16 bits, all little-endian.
 type loadTable []byte
 
+// The columns of a row. Shares are in percent, counts of attempts in tenths, times in
+// milliseconds.
 const (
-	loadColumns  = 12
-	loadRowBytes = 4 + 2*loadColumns
+	columnInFlight = iota
+	columnOpenConnections
+	columnLatencyFactor
+	columnRunning
+	columnWaiting
+	columnSlots
+	columnSlowdown
+	columnLoadAge
+	columnAttempts
+	columnFailures
+	columnUnansweredTime
+	columnSources
+	loadColumns
+)
+
+const (
+	idBytes      = 4
+	columnBytes  = 2
+	loadRowBytes = idBytes + columnBytes*loadColumns
 	percent      = 100
 	tenths       = 10
 )
@@ -51,23 +73,34 @@
 func encodeReports(reports []placement.Report) loadTable {
 	table := make(loadTable, 0, len(reports)*loadRowBytes)
 	for _, r := range reports {
-		columns := [loadColumns]float64{
-			float64(r.InFlight), float64(r.OpenConnections), r.LatencyFactor * percent,
-			0, 0, 0, 0, 0,
-			r.Attempts * tenths, r.Failures * tenths, float64(r.UnansweredTime.Milliseconds()), float64(r.Sources),
-		}
-		if r.HasLoad {
-			columns[3], columns[4], columns[5] = float64(r.Load.Running), float64(r.Load.Waiting), float64(r.Load.Slots)
-			columns[6], columns[7] = r.Load.Slowdown*percent, float64(r.LoadAge.Milliseconds())
-		}
 		table = binary.LittleEndian.AppendUint32(table, shortID(r.Server))
-		for _, value := range columns {
+		for _, value := range encodeColumns(r) {
 			table = binary.LittleEndian.AppendUint16(table, uint16(min(max(value, 0), math.MaxUint16)))
 		}
 	}
 	return table
 }
 
+func encodeColumns(r placement.Report) [loadColumns]float64 {
+	columns := [loadColumns]float64{
+		columnInFlight:        float64(r.InFlight),
+		columnOpenConnections: float64(r.OpenConnections),
+		columnLatencyFactor:   r.LatencyFactor * percent,
+		columnAttempts:        r.Attempts * tenths,
+		columnFailures:        r.Failures * tenths,
+		columnUnansweredTime:  float64(r.UnansweredTime.Milliseconds()),
+		columnSources:         float64(r.Sources),
+	}
+	if r.HasLoad {
+		columns[columnRunning] = float64(r.Load.Running)
+		columns[columnWaiting] = float64(r.Load.Waiting)
+		columns[columnSlots] = float64(r.Load.Slots)
+		columns[columnSlowdown] = r.Load.Slowdown * percent
+		columns[columnLoadAge] = float64(r.LoadAge.Milliseconds())
+	}
+	return columns
+}
+
 func decodeReports(table loadTable, idsByShortID map[uint32]string) []placement.Report {
 	reports := make([]placement.Report, 0, table.rows())
 	for n := range table.rows() {
@@ -83,17 +116,32 @@
 
 // report decodes a row, whose server has the given id.
 func (t loadTable) report(row int, id string) placement.Report {
-	columns := t[row*loadRowBytes+4:]
-	column := func(i int) int { return int(binary.LittleEndian.Uint16(columns[2*i:])) }
-	r := placement.Report{
-		Server: id, InFlight: column(0), OpenConnections: column(1), LatencyFactor: float64(column(2)) / percent,
-		HasLoad: column(5) > 0, LoadAge: time.Duration(column(7)) * time.Millisecond,
-		Attempts: float64(column(8)) / tenths, Failures: float64(column(9)) / tenths,
-		UnansweredTime: time.Duration(column(10)) * time.Millisecond, Sources: column(11),
+	columns := t[row*loadRowBytes+idBytes:]
+	column := func(i int) int { return int(binary.LittleEndian.Uint16(columns[columnBytes*i:])) }
+	millis := func(i int) time.Duration { return time.Duration(column(i)) * time.Millisecond }
+	return placement.Report{
+		Server:          id,
+		InFlight:        column(columnInFlight),
+		OpenConnections: column(columnOpenConnections),
+		LatencyFactor:   float64(column(columnLatencyFactor)) / percent,
+		Load: redwingstall.ServerLoad{
+			Running:  column(columnRunning),
+			Waiting:  column(columnWaiting),
+			Slots:    column(columnSlots),
+			Slowdown: float64(column(columnSlowdown)) / percent,
+		},
+		HasLoad:        column(columnSlots) > 0,
+		LoadAge:        millis(columnLoadAge),
+		Attempts:       float64(column(columnAttempts)) / tenths,
+		Failures:       float64(column(columnFailures)) / tenths,
+		UnansweredTime: millis(columnUnansweredTime),
+		Sources:        column(columnSources),
 	}
-	r.Load.Running, r.Load.Waiting, r.Load.Slots = column(3), column(4), column(5)
-	r.Load.Slowdown = float64(column(6)) / percent
-	return r
+}
+
+// sortedByShortID sorts reports in the order that Find needs.
+func sortedByShortID(reports []placement.Report) []placement.Report {
+	return slices.SortedFunc(slices.Values(reports), func(a, b placement.Report) int { return cmp.Compare(shortID(a.Server), shortID(b.Server)) })
 }
 
 // Find returns the report about a server. The rows must be sorted by short id.
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -3,12 +3,10 @@
 package peers
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -224,9 +222,7 @@
 	if t.hasLeader && len(keys) > 0 {
 		e.send(datagram{From: e.self.Name, Domain: e.self.FailureDomain, Keys: keys}, []view.Peer{t.leader})
 	}
-	totals := e.estimator.TotalReports(now)
-	slices.SortFunc(totals, func(a, b placement.Report) int { return cmp.Compare(shortID(a.Server), shortID(b.Server)) })
-	e.sendReports(datagram{From: e.self.Name, IsTotal: true}, totals, maxSumsPerDatagram, t.members)
+	e.sendReports(datagram{From: e.self.Name, IsTotal: true}, sortedByShortID(e.estimator.TotalReports(now)), maxSumsPerDatagram, t.members)
 }
 
 // sendReports splits reports into as many datagrams as needed. The first one carries
