--- a/internal/entry/callers/body.go
+++ b/internal/entry/callers/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -117,7 +118,7 @@
 	}
 	n, err := r.reader.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
-	return n, unexpected(err)
+	return n, asUnexpectedEOF(err)
 }
 
 // bodyStream is the part of a body that is read from the client while the request is
@@ -125,20 +126,22 @@
 // which slows down the client to the pace of the server.
 type bodyStream struct {
 	source io.Reader
+	// isStarted is read while a read waits for the client, so mu does not guard it.
+	isStarted atomic.Bool
 
-	mu        sync.Mutex
-	isStarted bool
-	isClosed  bool
-	err       error
+	// mu is held while a read waits for the client.
+	mu       sync.Mutex
+	isClosed bool
+	err      error
 }
 
 var errBodyClosed = errors.New("callers: the request has ended")
 
 // Read reads from the client. It returns io.EOF at the end of the body.
 func (s *bodyStream) Read(p []byte) (int, error) {
+	s.isStarted.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.isStarted = true
 	if s.isClosed {
 		return 0, errBodyClosed
 	}
@@ -151,11 +154,7 @@
 }
 
 // IsStarted reports whether a part was read. The body cannot be sent again then.
-func (s *bodyStream) IsStarted() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.isStarted
-}
+func (s *bodyStream) IsStarted() bool { return s.isStarted.Load() }
 
 // deadlineSetter is the part of a connection that interrupts reads.
 type deadlineSetter interface {
--- a/internal/entry/callers/body_test.go
+++ b/internal/entry/callers/body_test.go
@@ -219,3 +219,31 @@
 		f.server.buffered.Store(0)
 	})
 }
+
+// shedding is a handler whose server sheds the request while its body is still read.
+type shedding struct{ isStarted bool }
+
+func (h *shedding) Serve(_ context.Context, r dispatch.Request) backends.Response {
+	go func() { _, _ = r.BodyRest.Read(make([]byte, pieceSize)) }()
+	time.Sleep(10 * time.Millisecond) // the read waits for the client
+	h.isStarted = r.BodyRest.IsStarted()
+	return backends.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}}
+}
+
+// Guards against a client that stalls in the middle of its body and thereby delays the
+// decision about its request beyond any deadline.
+func TestStalledUploadDoesNotDelayItsAnswer(t *testing.T) {
+	h := &shedding{}
+	serveWith(t, defaultLimits, h, func(t *testing.T, f *fixture) {
+		c, r := f.dial()
+		go func() {
+			_, _ = io.WriteString(c, fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", largeBody, pattern(maxBufferedBody)))
+		}()
+		began := time.Now()
+		status, _, response := answer(t, r)
+		require.Equal(t, 503, status)
+		require.True(t, response.Close)
+		require.Equal(t, 10*time.Millisecond, time.Since(began))
+		require.True(t, h.isStarted)
+	})
+}
--- a/internal/entry/callers/chunks.go
+++ b/internal/entry/callers/chunks.go
@@ -24,9 +24,10 @@
 	// left is how many more bytes the body may have.
 	left int64
 	// chunk is what remains of the current chunk.
-	chunk   int64
-	isInner bool
-	isEnded bool
+	chunk int64
+	// hasChunk is set once a chunk was read, whose line ending comes before the next one.
+	hasChunk bool
+	isEnded  bool
 }
 
 // Read returns io.EOF after the trailer.
@@ -41,18 +42,18 @@
 	}
 	n, err := r.reader.Read(p[:min(int64(len(p)), r.chunk)])
 	r.chunk -= int64(n)
-	return n, unexpected(err)
+	return n, asUnexpectedEOF(err)
 }
 
 // nextChunk reads up to the content of the next chunk. It returns io.EOF if there is
 // none.
 func (r *chunkedReader) nextChunk() error {
-	if r.isInner {
+	if r.hasChunk {
 		if line, err := readLine(r.reader); err != nil || line != "" {
-			return malformedUnless(err, "chunk exceeds its declared size")
+			return readErrorOrMalformed(err, "chunk exceeds its declared size")
 		}
 	}
-	r.isInner = true
+	r.hasChunk = true
 	size, err := readChunkSize(r.reader)
 	switch {
 	case err != nil:
@@ -71,9 +72,9 @@
 	return io.EOF
 }
 
-// malformedUnless returns a read error as it is, and otherwise the reason why the
+// readErrorOrMalformed returns a read error as it is, and otherwise the reason why the
 // request is malformed.
-func malformedUnless(err error, reason string) error {
+func readErrorOrMalformed(err error, reason string) error {
 	if err != nil {
 		return err
 	}
@@ -117,7 +118,7 @@
 			break
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
-			return "", unexpected(err)
+			return "", asUnexpectedEOF(err)
 		}
 	}
 	text, isWhole := strings.CutSuffix(string(line), "\r\n")
@@ -127,8 +128,8 @@
 	return text, nil
 }
 
-// unexpected turns the end of the connection inside a body into an error.
-func unexpected(err error) error {
+// asUnexpectedEOF turns the end of the connection inside a body into an error.
+func asUnexpectedEOF(err error) error {
 	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -165,6 +165,7 @@
 		changes = append(changes, redwingstall.Change{Item: item})
 	}
 	f.view.Apply(time.Now(), f.decode(changes), true)
+	f.view.MarkCurrent(time.Now())
 	f.revision = revision
 	f.history.reset(revision)
 	f.log.Info("loaded all records from the store", "revision", revision, "items", len(items))
@@ -240,6 +241,7 @@
 	}
 	f.recordConfirmation()
 	isUrgent := f.apply(changes, at)
+	f.view.MarkCurrent(time.Now())
 	if len(changes) > 0 {
 		if broadcasts {
 			f.relay.Broadcast(Update{After: int64(after), UpTo: int64(f.revision), Changes: changes})
@@ -304,9 +306,11 @@
 		at := redwingstall.Revision(update.UpTo)
 		switch {
 		case at <= f.revision:
+			f.markCurrent(update)
 			return nil
 		case redwingstall.Revision(update.After) <= f.revision && !update.IsTruncated:
 			f.apply(update.Changes, at)
+			f.markCurrent(update)
 			return nil
 		}
 		if f.awaitsRepair(time.Now()) {
@@ -324,6 +328,14 @@
 	return nil
 }
 
+// markCurrent records that the view has all changes, unless the last ones came from an
+// instance that may miss some itself.
+func (f *Follower) markCurrent(u Update) {
+	if !u.IsRepair {
+		f.view.MarkCurrent(time.Now())
+	}
+}
+
 // awaitsRepair reports whether another instance may still send the changes after the
 // current revision. It requests them once for each revision.
 func (f *Follower) awaitsRepair(now time.Time) bool {
@@ -347,6 +359,7 @@
 	}
 	f.recordConfirmation()
 	f.apply(changes, at)
+	f.view.MarkCurrent(time.Now())
 	return nil
 }
 
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -411,3 +411,36 @@
 		require.Zero(t, f.countKnowing("x"))
 	})
 }
+
+// Guards against a server that counts as draining only since an instance regained contact,
+// though it may have announced that at any time since the instance was cut off. The first
+// heartbeat afterwards shows a gap, which the store or another instance closes.
+func TestChangesLearnedLateCountFromTheLossOfContact(t *testing.T) {
+	for _, isRepaired := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			log := slog.New(slog.DiscardHandler)
+			store := newFakeStore()
+			store.put("servers/x", "ready")
+			network := &fakeNetwork{queues: map[string]chan Update{}, hasRepairs: isRepaired}
+			relay := network.relay("b")
+			v := view.NewView(log, 0)
+			f := NewFollower("b", store.connect("b"), testDecoder{}, v, relay, log)
+			require.NoError(t, f.loadAll(t.Context()))
+			lostAt := time.Now()
+			store.put("servers/x", "draining")
+			time.Sleep(5 * time.Second)
+			sibling := NewFollower("a", store.connect("a"), testDecoder{}, view.NewView(log, 0), network.relay("a"), log)
+			require.NoError(t, sibling.catchUp(t.Context()))
+			network.followers = []*Follower{sibling}
+			for range 2 {
+				relay.queues["b"] <- Update{After: 2, UpTo: 2}
+				require.NoError(t, f.receiveUpdate(t.Context()))
+			}
+			if isRepaired { // the repair arrived behind the second heartbeat
+				require.NoError(t, f.receiveUpdate(t.Context()))
+			}
+			require.True(t, v.Snapshot().ByID["x"].Draining)
+			require.Equal(t, lostAt, v.Snapshot().ByID["x"].DrainingSince)
+		})
+	}
+}
--- a/internal/fleet/peers/fleet_test.go
+++ b/internal/fleet/peers/fleet_test.go
@@ -230,9 +230,8 @@
 }
 
 // Guards against an exchange whose messages grow with the square of the fleet, which then
-// takes more of an instance than its requests do. At 295 instances with 17 requests a
-// second each, an instance may send and receive 40 datagrams a second on average, and
-// twice as many at twice the size of the fleet would be too many.
+// takes more of an instance than its requests do. All mechanisms together may take 60
+// events a second and instance, of which heartbeats, updates and renewals need 20.
 func TestExchangeOfLargeFleetStaysInBudget(t *testing.T) {
 	const (
 		servers                = 810
@@ -279,3 +278,17 @@
 		})
 	}
 }
+
+// Guards against requests that a reporter counts twice, since it also has the reports that
+// the sums of another reporter are made of.
+func TestReporterIgnoresSums(t *testing.T) {
+	runFleet(t, 2, domainMeshLimit+2, 1, func(t *testing.T, f *fleet) {
+		reporter, receiver := f.members[0], f.members[5]
+		sums := datagram{From: f.members[1].name, IsTotal: true, Loads: encodeReports([]placement.Report{{Server: serverID(0), InFlight: 9}})}
+		for _, m := range []*member{reporter, receiver} {
+			m.exchange.handle(time.Now(), sums, nil, f.members[1].socket.address)
+		}
+		require.Zero(t, reporter.queueLength(serverID(0)))
+		require.InDelta(t, 9, receiver.queueLength(serverID(0)), 0)
+	})
+}
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-
-	"github.com/redwingstall/redwingstall/internal/fleet/view"
 )
 
 func (e *Exchange) receive(ctx context.Context) {
@@ -37,7 +34,7 @@
 	if message.Update != nil {
 		e.handleUpdate(t, message, raw, isRelayed)
 	}
-	if message.RepairAfter > 0 {
+	if message.RepairAfter > 0 && !isRelayed {
 		e.repair(message.RepairAfter, sender)
 	}
 	if message.Domain == "" || !isRelayed {
@@ -47,7 +44,10 @@
 		return
 	}
 	if message.IsTotal {
-		e.estimator.MergeTotalReports(now, message.Loads)
+		// A reporter has the reports that the sums are made of.
+		if t.hasSums && !t.isReporter {
+			e.estimator.MergeTotalReports(now, message.Loads)
+		}
 		return
 	}
 	reports := decodeReports(message.Loads, e.serverIDs())
@@ -79,7 +79,7 @@
 		}
 		e.forwardedRevision = message.Update.UpTo
 	}
-	if t.isReporter && slices.ContainsFunc(t.far, func(p view.Peer) bool { return p.Name == message.From }) {
+	if t.isReporter && t.isFar[message.From] {
 		e.writeDatagram(raw, t.near)
 	}
 }
--- a/internal/fleet/peers/topology.go
+++ b/internal/fleet/peers/topology.go
@@ -48,10 +48,12 @@
 	// other failure domains.
 	names        map[netip.AddrPort]string
 	farReporters map[string]bool
+	// isFar has the names of the far peers.
+	isFar map[string]bool
 }
 
 func newTopology(self view.Peer, s *view.Snapshot) *topology {
-	t := &topology{names: make(map[netip.AddrPort]string, len(s.Peers)), farReporters: map[string]bool{}}
+	t := &topology{names: make(map[netip.AddrPort]string, len(s.Peers)), farReporters: map[string]bool{}, isFar: map[string]bool{}}
 	leader := string(s.Leader.Value)
 	t.isLeader = leader == self.Name
 	byDomain := map[string][]view.Peer{}
@@ -78,6 +80,9 @@
 	if len(t.far) <= fullMeshLimit {
 		t.near, t.far, t.counterparts = append(t.near, t.far...), nil, nil
 	}
+	for _, p := range t.far {
+		t.isFar[p.Name] = true
+	}
 	t.hasSums = len(own)-1 > domainMeshLimit && len(t.near) == len(own)-1
 	return t
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -88,23 +88,28 @@
 	current            *Snapshot
 	graceUntil         time.Time
 	isStoreUnavailable bool
-	// confirmedAt is when the view was last known to be current, and
-	// previouslyConfirmedAt is the time before that.
-	confirmedAt           time.Time
-	previouslyConfirmedAt time.Time
+	// currentAt is when the view last had all changes of the store, or zero.
+	currentAt time.Time
 }
 
-// maxConfirmationGap is the time between two confirmations up to which a change counts
-// as made when it was learned.
-const maxConfirmationGap = time.Second
+// maxCurrentAge is the age of the last current view up to which a change counts as made
+// when it was learned.
+const maxCurrentAge = time.Second
+
+// MarkCurrent records that the view has all changes of the store.
+func (v *View) MarkCurrent(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.currentAt = now
+}
 
 // earliestChange returns when a change that was just learned may have been made: a process
 // that has just started, or was cut off, learns of it late. It is zero after the start.
 func (v *View) earliestChange(now time.Time) time.Time {
-	if !v.previouslyConfirmedAt.IsZero() && now.Sub(v.previouslyConfirmedAt) <= maxConfirmationGap {
+	if !v.currentAt.IsZero() && now.Sub(v.currentAt) <= maxCurrentAge {
 		return now
 	}
-	return v.previouslyConfirmedAt
+	return v.currentAt
 }
 
 // NewView returns an empty view.
@@ -142,7 +147,6 @@
 func (v *View) MarkStoreAvailable(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.previouslyConfirmedAt, v.confirmedAt = v.confirmedAt, now
 	if v.isStoreUnavailable {
 		v.isStoreUnavailable = false
 		v.graceUntil = now.Add(v.recoveryGrace)
