Log and count the limits that backend servers name

Neither logs nor metrics told whether the limit was unknown, known and not kept in sum, or exceeded by retries. Responses are now parsed for it, changes are logged and counted; no decision uses it yet.

--- a/gateway.go
+++ b/gateway.go
@@ -239,6 +239,19 @@
 	// WarmupLeft is the remaining warm-up time of the server.
 	WarmupLeft time.Duration
 	HasWarmup  bool
+	// Limit is the limit that the server names for all instances together.
+	Limit RateLimit
+}
+
+// RateLimit is what a backend server's response says about the rate of requests that the
+// server takes from all instances together.
+type RateLimit struct {
+	// Rate is in requests per second. It counts only if IsNamed is set.
+	Rate    float64
+	IsNamed bool
+	// IsUnreadable is set if the response names a limit that cannot be read: it neither
+	// changes nor ends the limit.
+	IsUnreadable bool
 }
 
 // GatewayProtocol reads and writes the HTTP headers of the request path.
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/redwingstall/redwingstall/internal/traffic/budget"
 	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
 	"github.com/redwingstall/redwingstall/internal/traffic/pace"
+	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
 // Platform holds the platform-specific adapters of an instance.
@@ -50,6 +51,7 @@
 	metrics        *metrics.Registry
 	view           *view.View
 	estimator      *placement.Estimator
+	serverLimits   serverlimit.Table
 	pool           *backends.Pool
 	follower       *follow.Follower
 	presence       *presence.Lease
@@ -117,6 +119,7 @@
 		Estimator:     g.estimator,
 		Budget:        budget.NewBudget(bounds.RetryRatio, bounds.RetryExtra, bounds.RetryWindow),
 		WarmupLimiter: &pace.Limiter{},
+		ServerLimits:  &g.serverLimits,
 		KeyCounter:    g.metrics,
 		Counter:       g.metrics,
 		Log:           g.log,
@@ -289,7 +292,9 @@
 		case <-ticker.C:
 			g.pool.CloseExpired()
 			s := g.view.Snapshot()
-			g.estimator.RemoveUnlisted(func(id string) bool { return s.ByID[id] != nil })
+			isListed := func(id string) bool { return s.ByID[id] != nil }
+			g.estimator.RemoveUnlisted(isListed)
+			g.serverLimits.RemoveUnlisted(isListed)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -65,6 +65,9 @@
 	})
 	a.answer, a.result = answer, result
 	d.countAttempt(j, a)
+	if err == nil && !result.isMisdirected {
+		d.observeLimit(j, a)
+	}
 	if result.outcome == placement.Abandoned {
 		d.logAbandoned(ctx, j, server.ID)
 	}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/redwingstall/redwingstall/internal/routing/table"
 	"github.com/redwingstall/redwingstall/internal/traffic/budget"
 	"github.com/redwingstall/redwingstall/internal/traffic/pace"
+	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
 // Request is a client request whose header has been read.
@@ -81,6 +82,8 @@
 	Estimator     *placement.Estimator
 	Budget        *budget.Budget
 	WarmupLimiter *pace.Limiter
+	// ServerLimits holds the limits that servers name.
+	ServerLimits *serverlimit.Table
 	KeyCounter    KeyCounter
 	Counter       Counter
 	Log           *slog.Logger
