--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -84,9 +84,9 @@
 	WarmupLimiter *pace.Limiter
 	// ServerLimits holds the limits that servers name.
 	ServerLimits *serverlimit.Table
-	KeyCounter    KeyCounter
-	Counter       Counter
-	Log           *slog.Logger
+	KeyCounter   KeyCounter
+	Counter      Counter
+	Log          *slog.Logger
 	// WarmupOverrun and WarmupSlack limit the requests per second to a server that
 	// warms up: a factor on the warm-up rate of its service, and an additional
 	// allowance in requests.
--- /dev/null
+++ b/internal/traffic/dispatch/server_limit_test.go
@@ -0,0 +1,106 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall/internal/entry/backends"
+)
+
+// arrivals records when requests reach a server.
+type arrivals struct {
+	mu sync.Mutex
+	at map[string][]time.Time
+}
+
+func (a *arrivals) add(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at[id] = append(a.at[id], time.Now())
+}
+
+// most returns the largest number of arrivals at a server in some window after a time.
+func (a *arrivals) most(id string, after time.Time, window time.Duration) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range a.at[id] {
+		for a.at[id][first].Before(after) || at.Sub(a.at[id][first]) >= window {
+			if first++; first > i {
+				break
+			}
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+const (
+	limitRate   = 4.0
+	limitWindow = 4 * time.Second
+	// maxLimited is the number of requests in a window that the platform tolerates.
+	maxLimited = 1.5*limitRate*4 + 5
+)
+
+// limitedFleet is a fleet of instances whose owner of keys, k1, names a limit.
+type limitedFleet struct {
+	instances []*fixture
+	arrivals  *arrivals
+	answers   chan int
+}
+
+func newLimitedFleet(instances int) *limitedFleet {
+	f := &limitedFleet{arrivals: &arrivals{at: map[string][]time.Time{}}, answers: make(chan int, 100_000)}
+	for range instances {
+		f.instances = append(f.instances, newFixture(func(_ int, id string, _ backends.Request) (backends.Response, error) {
+			f.arrivals.add(id)
+			time.Sleep(100 * time.Millisecond)
+			answer := signed(200)
+			if id == "k1" {
+				answer.Header.Set("Server-Limit", fmt.Sprint(limitRate))
+			}
+			return answer, nil
+		}))
+	}
+	return f
+}
+
+// load sends requests to random instances at random times, at a rate per second.
+func (f *limitedFleet) load(t *testing.T, rate float64, duration time.Duration) {
+	random := rand.New(rand.NewPCG(7, 7))
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		instance, key := f.instances[random.IntN(len(f.instances))], random.IntN(1<<15)
+		go func() {
+			answer := instance.get(t.Context(), "/keyed/x", "Shard-Key", strconv.Itoa(key))
+			f.answers <- answer.Status
+		}()
+	}
+}
+
+// Guards against a limit for all instances together that each of them keeps only for itself.
+func TestLimitOfAServerHoldsForAllInstancesTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitedFleet(8)
+		began := time.Now()
+		f.load(t, 3*limitRate, 20*time.Second)
+		time.Sleep(3 * time.Second)
+		require.LessOrEqual(t, f.arrivals.most("k1", began.Add(3*time.Second), limitWindow), int(maxLimited))
+		served := 0
+		for range len(f.answers) {
+			if <-f.answers == http.StatusOK {
+				served++
+			}
+		}
+		require.GreaterOrEqual(t, served, int(0.8*limitRate*20), "the limit is used")
+	})
+}
+
