Keep the limit of a server for all instances together

Cause: the limit was passed on to the client and read by nobody. Class of fault: a total for the fleet, of which each instance sees a part: if each kept the limit by its own count, as many times the limit would be sent as there are instances.

Change: an instance that reads a limit broadcasts it. For each limited server one instance, chosen by rendezvous hashing over the live instances, grants the permits of all at the rate of the limit (generic cell rate algorithm); the others ask it, 2 ms away, for each request to that server. A permit may lie in the future, as long as the latency objective still holds; otherwise the client gets 503 with the time at which there will be room, a different one each. If the coordinator does not answer, the second choice asks it once more and then grants half of the limit; an instance that reaches neither uses a small share. The capacity of an owner of keys is at most its limit, so that keys move to owners that can take them.

Why it works: one schedule per server knows all requests. Permits over any span are at most the limit plus a quarter of a second's worth and one.

Weighed: equal shares (one request in 70 s per instance of 295, for a limit of 4.2), shares by demand (the same), exchanged counts (300 ms old, so that a burst passes), requests handed over to the coordinator (a second hop for bodies).

The test failed before: 53 requests in 4 s, 29 tolerated.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -18,6 +18,7 @@
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
 const (
@@ -76,9 +77,14 @@
 	// reportCount selects the reporter that gets the keys.
 	reportCount int
 
+	// limiter keeps the limits of servers, if they are shared.
+	limiter *serverlimit.Limiter
+
 	mu              sync.Mutex
 	topologyOf      *view.Snapshot
 	currentTopology *topology
+	// pending are the queries without a reply.
+	pending map[uint64]chan limitMessage
 
 	// forwarded is the position up to which updates were forwarded. Only the receiving
 	// goroutine uses it.
@@ -128,10 +134,17 @@
 		defer close(received)
 		e.receive(ctx)
 	}()
-	lastSums := time.Time{}
+	lastSums, lastDigest, startedAt := time.Time{}, time.Time{}, time.Now()
 	for ctx.Err() == nil {
 		t := e.topology()
 		now := time.Now()
+		if e.limiter != nil {
+			e.broadcastLimits(now, t)
+			if now.Sub(lastDigest) >= digestInterval-timerTolerance {
+				lastDigest = now
+				e.compareLimits(t, now.Sub(startedAt))
+			}
+		}
 		if t.hasSums {
 			e.sendToReporters(now, t)
 		} else {
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -21,6 +21,12 @@
 			}
 			continue
 		}
+		if n > 0 && buffer[0] == limitPrefix {
+			if e.limiter != nil {
+				e.handleLimits(ctx, time.Now(), buffer[:n], sender)
+			}
+			continue
+		}
 		var message datagram
 		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
 			e.log.Warn("datagram decoding failed", "bytes", n, "error", err.Error())
--- a/internal/fleet/peers/topology.go
+++ b/internal/fleet/peers/topology.go
@@ -50,15 +50,20 @@
 	farReporters map[string]bool
 	// isFar has the names of the far peers.
 	isFar map[string]bool
+	// farReporterPeers are the reporters of other failure domains that are far.
+	farReporterPeers []view.Peer
+	// byName are all peers by name.
+	byName map[string]view.Peer
 }
 
 func newTopology(self view.Peer, s *view.Snapshot) *topology {
-	t := &topology{names: make(map[netip.AddrPort]string, len(s.Peers)), farReporters: map[string]bool{}, isFar: map[string]bool{}}
+	t := &topology{names: make(map[netip.AddrPort]string, len(s.Peers)), farReporters: map[string]bool{}, isFar: map[string]bool{}, byName: make(map[string]view.Peer, len(s.Peers))}
 	leader := string(s.Leader.Value)
 	t.isLeader = leader == self.Name
 	byDomain := map[string][]view.Peer{}
 	for _, p := range view.SortedByBandwidth(s.Peers) {
 		byDomain[p.FailureDomain] = append(byDomain[p.FailureDomain], p)
+		t.byName[p.Name] = p
 		if address, err := netip.ParseAddrPort(p.Address); err == nil {
 			t.names[address] = p.Name
 		}
@@ -82,6 +87,9 @@
 	}
 	for _, p := range t.far {
 		t.isFar[p.Name] = true
+		if t.farReporters[p.Name] {
+			t.farReporterPeers = append(t.farReporterPeers, p)
+		}
 	}
 	t.hasSums = len(own)-1 > domainMeshLimit && len(t.near) == len(own)-1
 	return t
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -69,6 +69,10 @@
 	Peers []Peer
 	// PeerNames are the names of Peers, in the same order.
 	PeerNames []string
+	// StayingPeers are the names of the instances that do not shut down. PeersVersion grows
+	// with each change of Peers.
+	StayingPeers []string
+	PeersVersion int64
 	// Leader is the record of the instance that writes the owner maps in the current era,
 	// or a zero item.
 	Leader redwingstall.Item
@@ -244,15 +248,28 @@
 	for _, list := range next.Servers {
 		slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	next.PeerNames = make([]string, 0, len(next.Peers))
-	for _, p := range next.Peers {
-		next.PeerNames = append(next.PeerNames, p.Name)
-	}
 	previous := v.current
+	next.setPeerNames(previous)
 	v.current = next
 	close(previous.Changed)
 }
 
+// setPeerNames derives the names of the instances, unless they are those of the previous
+// snapshot.
+func (s *Snapshot) setPeerNames(previous *Snapshot) {
+	if slices.Equal(s.Peers, previous.Peers) {
+		s.PeerNames, s.StayingPeers, s.PeersVersion = previous.PeerNames, previous.StayingPeers, previous.PeersVersion
+		return
+	}
+	s.PeersVersion = previous.PeersVersion + 1
+	for _, p := range s.Peers {
+		s.PeerNames = append(s.PeerNames, p.Name)
+		if !p.IsLeaving {
+			s.StayingPeers = append(s.StayingPeers, p.Name)
+		}
+	}
+}
+
 // removeUnlisted treats items that a full listing does not contain as deleted. After a
 // recovery of the store, some are kept for a grace period.
 func (v *View) removeUnlisted(now time.Time, next *Snapshot, events []redwingstall.Event, isRecovery bool) {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -51,7 +51,7 @@
 	metrics        *metrics.Registry
 	view           *view.View
 	estimator      *placement.Estimator
-	serverLimits   serverlimit.Table
+	limiter        *serverlimit.Limiter
 	pool           *backends.Pool
 	follower       *follow.Follower
 	presence       *presence.Lease
@@ -80,6 +80,10 @@
 	if err != nil {
 		return nil, err
 	}
+	g.limiter = &serverlimit.Limiter{
+		Self: node.Name, Table: &serverlimit.Table{}, Instances: g.instances, Transport: g.exchange, Count: g.metrics.Count,
+	}
+	g.exchange.ShareLimits(g.limiter)
 	record, err := view.PeerRecord(g.exchange.Self())
 	if err != nil {
 		return nil, err
@@ -108,6 +112,12 @@
 	return g, g.openAdmin(platform.ReadyPath)
 }
 
+// instances returns the instances that may coordinate the limits of servers.
+func (g *Gateway) instances() serverlimit.Instances {
+	s := g.view.Snapshot()
+	return serverlimit.Instances{Names: s.StayingPeers, Version: s.PeersVersion}
+}
+
 func (g *Gateway) newDispatcher(platform Platform) *dispatch.Dispatcher {
 	bounds := g.node.Bounds
 	return dispatch.NewDispatcher(dispatch.Config{
@@ -119,7 +129,7 @@
 		Estimator:     g.estimator,
 		Budget:        budget.NewBudget(bounds.RetryRatio, bounds.RetryExtra, bounds.RetryWindow),
 		WarmupLimiter: &pace.Limiter{},
-		ServerLimits:  &g.serverLimits,
+		ServerLimiter: g.limiter,
 		KeyCounter:    g.metrics,
 		Counter:       g.metrics,
 		Log:           g.log,
@@ -143,7 +153,11 @@
 func (c capacityEstimator) Capacity(server *view.Server) float64 {
 	work := c.estimator.ServiceExecutionTime(server.Service)
 	factor := c.estimator.LatencyFactor(time.Now(), server.ID)
-	return float64(server.Slots) / (work.Seconds() * min(max(factor, minLatencyFactor), maxLatencyFactor))
+	capacity := float64(server.Slots) / (work.Seconds() * min(max(factor, minLatencyFactor), maxLatencyFactor))
+	if limit := c.limiter.Table.Find(server.Process()); limit.IsActive() {
+		return min(capacity, limit.Rate)
+	}
+	return capacity
 }
 
 // Bounds of the latency factor in capacity estimates. Short slowdowns beyond them end
@@ -294,7 +308,7 @@
 			s := g.view.Snapshot()
 			isListed := func(id string) bool { return s.ByID[id] != nil }
 			g.estimator.RemoveUnlisted(isListed)
-			g.serverLimits.RemoveUnlisted(isListed)
+			g.limiter.RemoveUnlisted(isListed)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -98,6 +98,24 @@
 	if time.Until(j.deadline) < minAttemptTime {
 		return nil, rejection{reason: ReasonTimeout}
 	}
+	for query := 1; ; query++ {
+		c, rejected := d.chooseServer(ctx, j)
+		if c == nil || !d.isLimited(c.server) {
+			return c, rejected
+		}
+		permit := d.acquirePermit(ctx, j, c)
+		switch {
+		case permit.IsGranted && d.isStillChosen(j, c):
+			return c, rejection{}
+		case ctx.Err() != nil:
+			return nil, rejection{reason: ReasonTimeout}
+		case query == maxPermitQueries || j.isKeyed() && !permit.IsGranted:
+			return nil, rejection{ReasonServerLimit, permit.Wait, c}
+		}
+	}
+}
+
+func (d *Dispatcher) chooseServer(ctx context.Context, j *job) (*choice, rejection) {
 	if j.isKeyed() {
 		return d.chooseOwner(ctx, j)
 	}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -48,6 +48,7 @@
 	ReasonNoServer        = "noServer"
 	ReasonNoOwner         = "noOwner"
 	ReasonOverload        = "overload"
+	ReasonServerLimit     = "serverLimit"
 	ReasonTimeout         = "timeout"
 	ReasonNotExecuted     = "notExecuted"
 	ReasonUnknown         = "outcomeUnknown"
@@ -82,11 +83,11 @@
 	Estimator     *placement.Estimator
 	Budget        *budget.Budget
 	WarmupLimiter *pace.Limiter
-	// ServerLimits holds the limits that servers name.
-	ServerLimits *serverlimit.Table
-	KeyCounter   KeyCounter
-	Counter      Counter
-	Log          *slog.Logger
+	// ServerLimiter keeps the limits that servers name for all instances together.
+	ServerLimiter *serverlimit.Limiter
+	KeyCounter    KeyCounter
+	Counter       Counter
+	Log           *slog.Logger
 	// WarmupOverrun and WarmupSlack limit the requests per second to a server that
 	// warms up: a factor on the warm-up rate of its service, and an additional
 	// allowance in requests.
@@ -139,6 +140,8 @@
 	// lastFailure is the last server error that may be returned to the client.
 	lastFailure *backends.Response
 	ownerWait   time.Duration
+	// permitWait is the time that was spent on permits for servers with a limit.
+	permitWait time.Duration
 }
 
 // isKeyed reports whether only the owner of its key may run the request.
@@ -301,6 +304,6 @@
 	d.Counter.RecordLatency("requests", took)
 	d.Log.Info("request", "id", j.meta.ID, "route", route, "service", j.service, "key", j.meta.Key, "status", answer.Status,
 		"reason", reason, "server", j.lastServer, "attempts", j.attempts, "tookMillis", took.Milliseconds(),
-		"waitedMillis", j.ownerWait.Milliseconds(), "expectedMillis", j.expectedLatency.Milliseconds(), "queue", j.queueLength,
+		"waitedMillis", j.ownerWait.Milliseconds(), "permitMillis", j.permitWait.Milliseconds(), "expectedMillis", j.expectedLatency.Milliseconds(), "queue", j.queueLength,
 		"isReturn", j.isClientRetry, "targetMillis", j.latencyTarget.Sub(j.request.Arrived).Milliseconds(), "view", d.View.Snapshot().Sequence)
 }
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -23,7 +23,6 @@
 	"github.com/redwingstall/redwingstall/internal/traffic/budget"
 	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
 	"github.com/redwingstall/redwingstall/internal/traffic/pace"
-	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 	"github.com/redwingstall/redwingstall/platform"
 )
 
@@ -140,7 +139,7 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	w.dispatcher = dispatch.NewDispatcher(dispatch.Config{
 		InstanceName: "a", View: w.view, Backends: w.backends, Protocol: platform.Headers{}, Estimator: &placement.Estimator{},
-		Budget: budget.NewBudget(0.2, 56, 10*time.Second), WarmupLimiter: &pace.Limiter{}, ServerLimits: &serverlimit.Table{}, KeyCounter: discardCounter{}, Counter: discardCounter{}, Log: log,
+		Budget: budget.NewBudget(0.2, 56, 10*time.Second), WarmupLimiter: &pace.Limiter{}, ServerLimiter: newLimiter(), KeyCounter: discardCounter{}, Counter: discardCounter{}, Log: log,
 		WarmupOverrun: 1.5, WarmupSlack: 5, DrainTimeout: time.Second, EvacuateTimeout: 2 * time.Second, Random: random.Float64,
 	})
 	return w
--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -17,7 +17,7 @@
 	if len(usable) == 0 {
 		return nil, rejection{reason: ReasonNoServer, retryAfter: noServerRetryAfter}
 	}
-	canAccept := func(c *choice) bool { return d.hasWarmupCapacity(s, c.server, now) }
+	canAccept := func(c *choice) bool { return d.hasWarmupCapacity(s, c.server, now) && d.hasPermitRoom(j, c, now) }
 	best, fastest := d.sample(s, j, usable, now, func(c *choice) bool { return canAccept(c) && !c.estimate.IsEjected })
 	if fastest == nil {
 		// Ejected servers are used only if there is no other.
@@ -25,7 +25,7 @@
 	}
 	switch {
 	case fastest == nil:
-		// All servers are in warm-up and at their limit.
+		// All servers are at their limits, of warm-up or of their own.
 		return nil, rejection{reason: ReasonOverload, retryAfter: d.notExecutedRetryAfter(j)}
 	case best == nil:
 		return nil, rejection{ReasonOverload, max(fastest.estimate.Completion/2, d.notExecutedRetryAfter(j)), fastest}
--- a/internal/traffic/dispatch/server_limit.go
+++ b/internal/traffic/dispatch/server_limit.go
@@ -1,6 +1,28 @@
 package dispatch
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
+)
+
+const (
+	// permitWaitShare is the part of the time before the latency objective for which a
+	// request may wait for a permit. The rest allows for work that takes longer than
+	// expected.
+	permitWaitShare = 0.5
+	// lessUrgentShare is the part of that for requests of a service that also serves more
+	// urgent ones: when permits are scarce, it leaves them to these.
+	lessUrgentShare = 0.5
+	// maxPermitAge is how late a permit may be used. A process that was suspended asks for
+	// another one.
+	maxPermitAge = 250 * time.Millisecond
+	// maxPermitQueries bounds the servers that one request asks a permit for.
+	maxPermitQueries = 3
+)
 
 // observeLimit records what a response says about the limit of its server.
 func (d *Dispatcher) observeLimit(j *job, a *attempt) {
@@ -9,7 +31,7 @@
 		d.Counter.Count("serverLimits.unreadable")
 		d.Log.Warn("limit of backend server cannot be read", "id", j.meta.ID, "server", a.choice.server.ID)
 	}
-	known, hasChanged := d.ServerLimits.Observe(a.choice.server.Process(), named, a.began, time.Now())
+	known, hasChanged := d.ServerLimiter.Table.Observe(a.choice.server.Process(), named, a.began, time.Now())
 	if known.IsActive() {
 		d.Counter.Count("serverLimits.requests")
 	}
@@ -19,3 +41,92 @@
 	d.Counter.Count("serverLimits.changes")
 	d.Log.Info("limit of backend server", "server", known.Server.ID, "service", j.service, "perSecond", known.Rate, "id", j.meta.ID, "source", "response")
 }
+
+// hasPermitRoom reports whether a limited server may have a permit for the request in time.
+func (d *Dispatcher) hasPermitRoom(j *job, c *choice, now time.Time) bool {
+	return d.ServerLimiter.HasRoom(now, c.server.Process(), d.maxPermitWait(j, c, now))
+}
+
+// maxPermitWait returns how long a request may wait for a permit. Returning clients, whose
+// objective has passed, wait no longer than others: they would delay these beyond theirs.
+func (d *Dispatcher) maxPermitWait(j *job, c *choice, now time.Time) time.Duration {
+	share := permitWaitShare
+	if d.servesMoreUrgent(j) {
+		share *= lessUrgentShare
+	}
+	left := j.route.Target - c.estimate.Completion
+	if !j.isClientRetry {
+		left = j.latencyTarget.Sub(now) - c.estimate.Completion
+	}
+	left = min(left, j.deadline.Sub(now)-c.estimate.Completion)
+	return max(time.Duration(share*float64(left)), 0)
+}
+
+// servesMoreUrgent reports whether the service also serves a route of a higher priority.
+func (d *Dispatcher) servesMoreUrgent(j *job) bool {
+	config := d.View.Snapshot().Config
+	for _, r := range config.Routes {
+		if r.Priority < j.route.Priority && hasPart(r, j.service) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasPart(r redwingstall.Route, service string) bool {
+	for _, part := range r.Parts {
+		if part.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// acquirePermit asks for a permit to send the request to a server that has a limit, and
+// waits until it may be used.
+func (d *Dispatcher) acquirePermit(ctx context.Context, j *job, c *choice) serverlimit.Permit {
+	began := time.Now()
+	permit := d.ServerLimiter.Acquire(ctx, c.server.Process(), d.maxPermitWait(j, c, began))
+	if !permit.IsGranted {
+		d.Counter.Count("serverLimits.refused")
+		return permit
+	}
+	if permit.Wait > 0 {
+		d.Counter.Count("serverLimits.waits")
+		dueAt := time.Now().Add(permit.Wait)
+		if !sleepUntil(ctx, dueAt) || time.Since(dueAt) > maxPermitAge {
+			d.Counter.Count("serverLimits.unused")
+			permit.IsGranted = false
+		}
+	}
+	j.permitWait += time.Since(began)
+	return permit
+}
+
+// sleepUntil returns false if the context ends before.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isStillChosen reports whether a request that has waited may still go to its server.
+func (d *Dispatcher) isStillChosen(j *job, c *choice) bool {
+	s, now := d.View.Snapshot(), time.Now()
+	if !j.isKeyed() {
+		server := s.ByID[c.server.ID]
+		return server != nil && server.Process() == c.server.Process() && s.IsUsable(server)
+	}
+	owner, _ := d.findOwner(s, j, now)
+	return owner != nil && owner.server.Process() == c.server.Process()
+}
+
+// isLimited reports whether a server has a limit.
+func (d *Dispatcher) isLimited(server *view.Server) bool {
+	return d.ServerLimiter.Table.Find(server.Process()).IsActive()
+}
--- a/internal/traffic/dispatch/server_limit_test.go
+++ b/internal/traffic/dispatch/server_limit_test.go
@@ -1,9 +1,12 @@
 package dispatch_test
 
 import (
+	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -13,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
+	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
 // arrivals records when requests reach a server.
@@ -70,9 +74,28 @@
 			return answer, nil
 		}))
 	}
+	limiters := memoryTransport{}
+	for i, instance := range f.instances {
+		l := newLimiter()
+		l.Self, l.Transport = strconv.Itoa(i), limiters
+		limiters[l.Self] = l
+		instance.dispatcher.ServerLimiter = l
+	}
+	names := slices.Sorted(maps.Keys(limiters))
+	for _, l := range limiters {
+		l.Instances = func() serverlimit.Instances { return serverlimit.Instances{Names: names} }
+	}
 	return f
 }
 
+// memoryTransport connects limiters by name.
+type memoryTransport map[string]*serverlimit.Limiter
+
+func (m memoryTransport) Ask(ctx context.Context, instance string, query serverlimit.Query) (serverlimit.Reply, error) {
+	time.Sleep(2 * time.Millisecond)
+	return m[instance].Answer(ctx, query), nil
+}
+
 // load sends requests to random instances at random times, at a rate per second.
 func (f *limitedFleet) load(t *testing.T, rate float64, duration time.Duration) {
 	random := rand.New(rand.NewPCG(7, 7))
@@ -104,3 +127,10 @@
 	})
 }
 
+// newLimiter returns the limiter of an instance without others.
+func newLimiter() *serverlimit.Limiter {
+	return &serverlimit.Limiter{
+		Self: "a", Table: &serverlimit.Table{}, Instances: func() serverlimit.Instances { return serverlimit.Instances{Names: []string{"a"}} },
+		Count: func(string) {},
+	}
+}
--- a/internal/traffic/pace/pace.go
+++ b/internal/traffic/pace/pace.go
@@ -2,6 +2,7 @@
 package pace
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"sync"
@@ -45,6 +46,14 @@
 	}))
 }
 
+// HighestRanked returns the first n instances in the order of a server.
+func HighestRanked(server string, instances []string, n int) []string {
+	sorted := slices.SortedFunc(slices.Values(instances), func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight(b, server), weight(a, server)), cmp.Compare(a, b))
+	})
+	return sorted[:min(n, len(sorted))]
+}
+
 func weight(instance, server string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(server + "/" + instance))
--- a/internal/traffic/serverlimit/table.go
+++ b/internal/traffic/serverlimit/table.go
@@ -3,6 +3,8 @@
 package serverlimit
 
 import (
+	"fmt"
+	"hash/fnv"
 	"math"
 	"sync"
 	"time"
@@ -182,6 +184,21 @@
 	return all
 }
 
+// Digest returns a hash of the servers with a limit. It is 0 if there is none.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	digest := uint64(0)
+	for _, e := range t.limits {
+		if e.IsActive() {
+			h := fnv.New64a()
+			_, _ = fmt.Fprintf(h, "%s/%d", e.Server.ID, e.Server.StartedAtMillis)
+			digest ^= h.Sum64()
+		}
+	}
+	return digest
+}
+
 // RemoveUnlisted removes servers that are not listed.
 func (t *Table) RemoveUnlisted(isListed func(id string) bool) {
 	t.mu.Lock()
