--- a/internal/fleet/peers/fleet_test.go
+++ b/internal/fleet/peers/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
 // network delivers datagrams between the instances of a test, in memory.
@@ -133,6 +134,7 @@
 	estimator *placement.Estimator
 	keys      *keyLog
 	exchange  *Exchange
+	limiter   *serverlimit.Limiter
 }
 
 type fleet struct {
@@ -162,6 +164,11 @@
 			v := view.NewView(log, 0)
 			views = append(views, v)
 			m.exchange = newExchange(self, m.socket, v, m.estimator, m.keys, func(string, int64) {}, log)
+			m.limiter = &serverlimit.Limiter{Self: m.name, Table: &serverlimit.Table{}, Transport: m.exchange, Count: func(string) {}, Instances: func() serverlimit.Instances {
+				s := v.Snapshot()
+				return serverlimit.Instances{Names: s.StayingPeers, Version: s.PeersVersion}
+			}}
+			m.exchange.ShareLimits(m.limiter)
 			record, err := view.PeerRecord(self)
 			require.NoError(t, err)
 			events = append(events, redwingstall.RecordChanged{Change: redwingstall.Change{Item: record}})
--- a/internal/traffic/serverlimit/table_test.go
+++ b/internal/traffic/serverlimit/table_test.go
@@ -131,8 +131,11 @@
 func TestRefusedClientsReturnOneByOne(t *testing.T) {
 	c := &serverlimit.Coordinator{}
 	limit := serverlimit.Limit{Server: process, Rate: 4}
+	granted := 0
 	for c.Reserve(at(0), limit, 1, 500*time.Millisecond).IsGranted {
+		granted++
 	}
+	require.Equal(t, 2, granted)
 	first := c.Reserve(at(0), limit, 1, 500*time.Millisecond)
 	second := c.Reserve(at(0), limit, 1, 500*time.Millisecond)
 	require.False(t, second.IsGranted)
