Treat a server as draining once a response announces that it leaves

A server whose entry does not say draining went on to get requests until its entry was removed.

Cause: the same as for limits, a header of the response that is dropped unread.

Change: any response of the expected server that carries it marks the process in the view, with the time of the response. From there on it is the same as a drain from the store: pooled requests, retries, hedges and requests that wait for a permit choose others at once, the owner of keys gets requests for half of the drain timeout, and the leader moves its keys. The other instances are notified, and compare digests, so that an instance without the store or one that starts learns of it. The mark ends with the process, or when the entry withdraws a drain.

The new test in dispatch fails with the call of observeLeaving taken out.

--- a/gateway.go
+++ b/gateway.go
@@ -241,6 +241,8 @@
 	HasWarmup  bool
 	// Limit is the limit that the server names for all instances together.
 	Limit RateLimit
+	// IsLeaving is set if the server announces that it leaves.
+	IsLeaving bool
 }
 
 // RateLimit is what a backend server's response says about the rate of requests that the
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -87,7 +87,7 @@
 	topologyOf      *view.Snapshot
 	currentTopology *topology
 	// pending are the queries without a reply.
-	pending map[uint64]chan limitMessage
+	pending map[uint64]chan serverMessage
 
 	// forwarded is the position up to which updates were forwarded. Only the receiving
 	// goroutine uses it.
@@ -142,8 +142,8 @@
 		t := e.topology()
 		now := time.Now()
 		if e.limiter != nil {
-			e.broadcastLimits(now, t)
-			e.compareLimits(now, t)
+			e.broadcastServers(now, t)
+			e.compareServers(now, t)
 		}
 		if t.hasSums {
 			e.sendToReporters(now, t)
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -21,9 +21,9 @@
 			}
 			continue
 		}
-		if n > 0 && buffer[0] == limitPrefix {
+		if n > 0 && buffer[0] == serverPrefix {
 			if e.limiter != nil {
-				e.handleLimits(ctx, time.Now(), buffer[:n], sender)
+				e.handleServerMessage(ctx, time.Now(), buffer[:n], sender)
 			}
 			continue
 		}
--- a/internal/fleet/peers/limits.go
+++ b/internal/fleet/peers/servers.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// limitPrefix is the first byte of messages about the limits of servers. Instances that
+	// serverPrefix is the first byte of messages about servers. Instances that
 	// do not know these messages ignore them.
-	limitPrefix = 0x00
+	serverPrefix = 0x00
 	// askTimeout is how long one query waits for its reply, and askTries how often it is
 	// sent. Round trips take 2 ms; the rest is for a busy instance.
 	askTimeout = 80 * time.Millisecond
@@ -25,10 +25,12 @@
 	// digestInterval is the time between two comparisons with another instance of what is
 	// known, which find lost messages and supply instances that have just started.
 	digestInterval = time.Second
-	// startupTime is how long a new instance compares although it knows of no limit.
-	startupTime = 10 * time.Second
-	// maxLimitsPerMessage bounds a message to about 6 KB.
-	maxLimitsPerMessage = 200
+	// startupTime is how long a new instance compares although it knows of nothing, at
+	// shorter intervals.
+	startupTime           = time.Second
+	startupDigestInterval = 300 * time.Millisecond
+	// maxRowsPerMessage bounds a message to about 6 KB.
+	maxRowsPerMessage = 200
 	// delayMargin is the most that a message is assumed to have traveled. What it says
 	// about the start of a request is taken to be older by it.
 	delayMargin = 20 * time.Millisecond
@@ -36,25 +38,26 @@
 
 var errNoReply = errors.New("peers: no reply")
 
-// limitKind is the kind of a message about limits.
-type limitKind int
+// messageKind is the kind of a message about servers.
+type messageKind int
 
 const (
-	// limitQuery asks the coordinator for a permit, and limitReply answers it.
-	limitQuery limitKind = iota + 1
-	limitReply
-	// limitNotice broadcasts changes, and limitTable sends all that is known.
-	limitNotice
-	limitTable
-	// limitDigest compares what is known. The receiver sends its table if that differs.
-	limitDigest
+	// kindQuery asks the coordinator for a permit, and kindReply answers it.
+	kindQuery messageKind = iota + 1
+	kindReply
+	// kindNotice broadcasts changes, and kindTable sends all that is known.
+	kindNotice
+	kindTable
+	// kindDigest compares what is known. The receiver sends its table if that differs.
+	kindDigest
 )
 
-// limitMessage is a message about limits of servers.
-type limitMessage struct {
+// serverMessage is a message about what servers say in their responses: limits, and that
+// they leave.
+type serverMessage struct {
 	_     struct{} `cbor:",toarray"`
 	From  string
-	Kind  limitKind
+	Kind  messageKind
 	Nonce uint64
 	Rows  []limitRow
 	// MaxWaitMicros and IsForwarded belong to queries.
@@ -68,6 +71,24 @@
 	// that may know more.
 	Digest     uint64
 	WantsTable bool
+	// Leaving are servers that announced in a response that they leave.
+	Leaving []leavingRow
+}
+
+// leavingRow is a server that leaves.
+type leavingRow struct {
+	_               struct{} `cbor:",toarray"`
+	Server          string
+	StartedAtMillis int64
+	SinceMicros     int64
+}
+
+func encodeLeaving(now time.Time, leaving []view.Leaving) []leavingRow {
+	rows := make([]leavingRow, 0, len(leaving))
+	for _, l := range leaving {
+		rows = append(rows, leavingRow{Server: l.Server.ID, StartedAtMillis: l.Server.StartedAtMillis, SinceMicros: ageMicros(now, l.Since)})
+	}
+	return rows
 }
 
 // limitRow is one limit. Times are ages in microseconds.
@@ -123,13 +144,13 @@
 		return serverlimit.Reply{}, errors.Wrap(errNoReply, "instance is not listed")
 	}
 	nonce := rand.Uint64()
-	replies := make(chan limitMessage, askTries)
+	replies := make(chan serverMessage, askTries)
 	e.setPending(nonce, replies)
 	defer e.setPending(nonce, nil)
 	for range askTries {
 		now := time.Now()
-		e.sendLimits(limitMessage{
-			Kind: limitQuery, Nonce: nonce, Rows: []limitRow{encodeLimit(now, query.Limit)},
+		e.sendServerMessage(serverMessage{
+			Kind: kindQuery, Nonce: nonce, Rows: []limitRow{encodeLimit(now, query.Limit)},
 			MaxWaitMicros: query.MaxWait.Microseconds(), IsForwarded: query.IsForwarded,
 		}, []view.Peer{p})
 		timer := time.NewTimer(askTimeout)
@@ -146,14 +167,14 @@
 	return serverlimit.Reply{}, errors.WithStack(errNoReply)
 }
 
-func (m limitMessage) reply(now time.Time) serverlimit.Reply {
+func (m serverMessage) reply(now time.Time) serverlimit.Reply {
 	return serverlimit.Reply{
 		Permit: serverlimit.Permit{IsGranted: m.IsGranted, Wait: micros(m.WaitMicros), FreeIn: micros(m.FreeInMicros)},
 		Limit:  m.Rows[0].limit(now),
 	}
 }
 
-func (e *Exchange) setPending(nonce uint64, replies chan limitMessage) {
+func (e *Exchange) setPending(nonce uint64, replies chan serverMessage) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if replies == nil {
@@ -161,65 +182,88 @@
 		return
 	}
 	if e.pending == nil {
-		e.pending = map[uint64]chan limitMessage{}
+		e.pending = map[uint64]chan serverMessage{}
 	}
 	e.pending[nonce] = replies
 }
 
-func (e *Exchange) sendLimits(m limitMessage, to []view.Peer) {
+func (e *Exchange) sendServerMessage(m serverMessage, to []view.Peer) {
 	m.From = e.self.Name
 	encoded, err := cbor.Marshal(m)
 	if err != nil {
 		e.log.Error("datagram encoding failed", "error", err.Error())
 		return
 	}
-	e.writeDatagram(append([]byte{limitPrefix}, encoded...), to)
+	e.writeDatagram(append([]byte{serverPrefix}, encoded...), to)
 }
 
-// broadcastLimits sends the changes that this instance has observed to all others, through
+// broadcastServers sends what this instance has learned by responses to all others, through
 // the reporters of other failure domains.
-func (e *Exchange) broadcastLimits(now time.Time, t *topology) {
-	changes := e.limiter.Table.TakeChanges()
-	for len(changes) > 0 {
-		n := min(len(changes), maxLimitsPerMessage)
-		message := limitMessage{Kind: limitNotice, Rows: encodeLimits(now, changes[:n])}
-		e.sendLimits(message, t.near)
-		e.sendLimits(message, t.farReporterPeers)
-		changes = changes[n:]
+func (e *Exchange) broadcastServers(now time.Time, t *topology) {
+	message := serverMessage{Kind: kindNotice}
+	e.forEachMessage(now, message, e.limiter.Table.TakeChanges(), e.view.TakeLeaving(), func(m serverMessage, _ bool) {
+		e.sendServerMessage(m, t.near)
+		e.sendServerMessage(m, t.farReporterPeers)
+	})
+}
+
+// forEachMessage splits limits and leaving servers into messages of bounded size.
+func (e *Exchange) forEachMessage(now time.Time, message serverMessage, limits []serverlimit.Limit, leaving []view.Leaving, send func(m serverMessage, isLast bool)) {
+	for len(limits)+len(leaving) > 0 {
+		n := min(len(limits), maxRowsPerMessage)
+		k := min(len(leaving), maxRowsPerMessage-n)
+		message.Rows, message.Leaving = encodeLimits(now, limits[:n]), encodeLeaving(now, leaving[:k])
+		limits, leaving = limits[n:], leaving[k:]
+		send(message, len(limits)+len(leaving) == 0)
 	}
 }
 
-// compareLimits sends a digest of what is known to another instance, by which one of both
+// compareServers sends a digest of what is known to another instance, by which one of both
 // finds out what it has missed. An instance that has just started does so more often.
-func (e *Exchange) compareLimits(now time.Time, t *topology) {
+func (e *Exchange) compareServers(now time.Time, t *topology) {
 	if len(t.near) == 0 {
 		return
 	}
 	if e.firstComparedAt.IsZero() {
 		e.firstComparedAt = now
 	}
-	uptime := now.Sub(e.firstComparedAt)
-	digest := e.limiter.Table.Digest()
-	isDue := now.Sub(e.comparedAt) >= digestInterval-timerTolerance || uptime < digestInterval
-	if !isDue || digest == 0 && uptime > startupTime {
+	interval, isStarting := digestInterval, now.Sub(e.firstComparedAt) < startupTime
+	if isStarting {
+		interval = startupDigestInterval
+	}
+	digest := e.digest()
+	if now.Sub(e.comparedAt) < interval-timerTolerance || digest == 0 && !isStarting {
 		return
 	}
 	e.comparedAt = now
-	e.sendLimits(limitMessage{Kind: limitDigest, Digest: digest}, []view.Peer{t.near[rand.IntN(len(t.near))]})
+	e.sendServerMessage(serverMessage{Kind: kindDigest, Digest: digest}, []view.Peer{t.near[rand.IntN(len(t.near))]})
 }
 
+// sendTable sends all that is known to an instance.
 func (e *Exchange) sendTable(now time.Time, to view.Peer, wantsTable bool) {
-	rows := encodeLimits(now, e.limiter.Table.All())
-	for first := true; first || len(rows) > 0; first = false {
-		n := min(len(rows), maxLimitsPerMessage)
-		e.sendLimits(limitMessage{Kind: limitTable, Rows: rows[:n], WantsTable: wantsTable && n == len(rows)}, []view.Peer{to})
-		rows = rows[n:]
+	limits, leaving := e.limiter.Table.All(), e.view.AllLeaving()
+	if len(limits)+len(leaving) == 0 && wantsTable {
+		e.sendServerMessage(serverMessage{Kind: kindTable, WantsTable: true}, []view.Peer{to})
+		return
 	}
+	e.forEachMessage(now, serverMessage{Kind: kindTable}, limits, leaving, func(m serverMessage, isLast bool) {
+		m.WantsTable = wantsTable && isLast
+		e.sendServerMessage(m, []view.Peer{to})
+	})
 }
 
-// handleLimits handles a message about limits. It does not block.
-func (e *Exchange) handleLimits(ctx context.Context, now time.Time, raw []byte, sender netip.AddrPort) {
-	var m limitMessage
+// digest returns a hash of what is known.
+func (e *Exchange) digest() uint64 {
+	digest := e.limiter.Table.Digest()
+	for _, l := range e.view.AllLeaving() {
+		digest ^= ^serverlimit.Hash(l.Server)
+	}
+	return digest
+}
+
+// handleServerMessage handles a message about servers. It does not block.
+func (e *Exchange) handleServerMessage(ctx context.Context, now time.Time, raw []byte, sender netip.AddrPort) {
+	var m serverMessage
 	if err := cbor.Unmarshal(raw[1:], &m); err != nil {
 		e.log.Warn("datagram decoding failed", "bytes", len(raw), "error", err.Error())
 		return
@@ -227,36 +271,36 @@
 	t := e.topology()
 	from := view.Peer{Name: m.From, Address: sender.String()}
 	switch m.Kind {
-	case limitQuery:
+	case kindQuery:
 		e.handleQuery(ctx, now, m, from)
-	case limitReply:
+	case kindReply:
 		e.handleReply(m)
-	case limitNotice:
-		e.mergeLimits(now, m)
+	case kindNotice:
+		e.mergeServers(now, m)
 		if t.isReporter && t.isFar[m.From] && t.names[sender] == m.From {
 			e.writeDatagram(raw, t.near)
 		}
-	case limitTable:
-		e.mergeLimits(now, m)
+	case kindTable:
+		e.mergeServers(now, m)
 		if m.WantsTable {
 			e.sendTable(now, from, false)
 		}
-	case limitDigest:
-		if m.Digest != e.limiter.Table.Digest() {
+	case kindDigest:
+		if m.Digest != e.digest() {
 			e.sendTable(now, from, true)
 		}
 	}
 }
 
-func (e *Exchange) handleQuery(ctx context.Context, now time.Time, m limitMessage, from view.Peer) {
+func (e *Exchange) handleQuery(ctx context.Context, now time.Time, m serverMessage, from view.Peer) {
 	if len(m.Rows) != 1 {
 		return
 	}
 	query := serverlimit.Query{Limit: m.Rows[0].limit(now), MaxWait: micros(m.MaxWaitMicros), IsForwarded: m.IsForwarded}
 	answer := func() {
 		reply := e.limiter.Answer(ctx, query)
-		e.sendLimits(limitMessage{
-			Kind: limitReply, Nonce: m.Nonce, Rows: []limitRow{encodeLimit(time.Now(), reply.Limit)},
+		e.sendServerMessage(serverMessage{
+			Kind: kindReply, Nonce: m.Nonce, Rows: []limitRow{encodeLimit(time.Now(), reply.Limit)},
 			IsGranted: reply.IsGranted, WaitMicros: reply.Wait.Microseconds(), FreeInMicros: reply.FreeIn.Microseconds(),
 		}, []view.Peer{from})
 	}
@@ -267,7 +311,7 @@
 	answer()
 }
 
-func (e *Exchange) handleReply(m limitMessage) {
+func (e *Exchange) handleReply(m serverMessage) {
 	e.mu.Lock()
 	replies := e.pending[m.Nonce]
 	e.mu.Unlock()
@@ -280,11 +324,14 @@
 	}
 }
 
-func (e *Exchange) mergeLimits(now time.Time, m limitMessage) {
+func (e *Exchange) mergeServers(now time.Time, m serverMessage) {
 	for _, row := range m.Rows {
 		l := row.limit(now)
 		if e.limiter.Table.Merge(l) {
 			e.log.Info("limit of backend server", "server", l.Server.ID, "perSecond", l.Rate, "source", m.From)
 		}
 	}
+	for _, row := range m.Leaving {
+		e.view.MergeLeaving(now, view.Leaving{Server: shardmap.Server{ID: row.Server, StartedAtMillis: row.StartedAtMillis}, Since: now.Add(-micros(row.SinceMicros))})
+	}
 }
--- a/internal/fleet/peers/limits_test.go
+++ b/internal/fleet/peers/servers_test.go
@@ -52,6 +52,27 @@
 	})
 }
 
+// Guards against a server that leaves and is still used by the instances that have not met it.
+func TestAllInstancesLearnThatAServerLeaves(t *testing.T) {
+	for _, perDomain := range []int{2, domainMeshLimit + 3} {
+		runFleet(t, 4, perDomain, 3, func(t *testing.T, f *fleet) {
+			time.Sleep(2 * time.Second)
+			require.True(t, f.members[perDomain+1].exchange.view.MarkLeaving(time.Now(), process(1)))
+			time.Sleep(500 * time.Millisecond)
+			for _, m := range f.members {
+				require.True(t, m.exchange.view.Snapshot().ByID[serverID(1)].Draining, m.name)
+			}
+			lost := f.members[0].exchange.view
+			f.members[0].exchange.view.MarkLeaving(time.Now(), process(2))
+			require.Len(t, lost.TakeLeaving(), 1) // the notices are lost
+			time.Sleep(6 * time.Second)
+			for _, m := range f.members[:perDomain] {
+				require.True(t, m.exchange.view.Snapshot().ByID[serverID(2)].Draining, m.name)
+			}
+		})
+	}
+}
+
 // Guards against permits that different instances grant for the same server.
 func TestPermitsOfAllInstancesComeFromOneSchedule(t *testing.T) {
 	runFleet(t, 6, 49, 2, func(t *testing.T, f *fleet) {
@@ -105,4 +126,3 @@
 		require.LessOrEqual(t, float64(most)/duration.Seconds(), 24_000.0)
 	})
 }
-
--- a/internal/fleet/view/servers.go
+++ b/internal/fleet/view/servers.go
@@ -15,6 +15,9 @@
 	// DrainingSince is when the server may have announced that it drains, or zero if that
 	// is unknown.
 	DrainingSince time.Time
+	// IsEntryDraining is set if the server's entry says that it drains. Draining is also
+	// set if a response did.
+	IsEntryDraining bool
 	// IsSuspect is set while the entry is missing after an outage of the store.
 	IsSuspect bool
 }
@@ -36,7 +39,7 @@
 	if previous == nil && v.holdBack(now, next, e) {
 		return
 	}
-	s := &Server{BackendEntry: e}
+	s := &Server{BackendEntry: e, IsEntryDraining: e.Draining}
 	isSameProcess := previous != nil && previous.StartedAtMillis == e.StartedAtMillis
 	switch {
 	case isSameProcess && previous.Sequence == e.Sequence && previous.WarmupLeft == e.WarmupLeft:
@@ -53,8 +56,9 @@
 			s.DrainingSince = previous.DrainingSince
 		}
 	}
-	if !isSameProcess || previous.Draining != e.Draining || previous.IsSuspect {
-		v.log.Info("backend server", "server", e.ID, "service", e.Service, "born", e.StartedAtMillis, "draining", e.Draining, "warmupLeft", e.WarmupLeft.String())
+	v.applyLeaving(s, previous)
+	if !isSameProcess || previous.Draining != s.Draining || previous.IsSuspect {
+		v.log.Info("backend server", "server", e.ID, "service", e.Service, "born", e.StartedAtMillis, "draining", s.Draining, "warmupLeft", e.WarmupLeft.String())
 	}
 	next.ByID[e.ID] = s
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -101,6 +101,7 @@
 	// currentAt is when the view last had all changes of the store, or zero.
 	currentAt time.Time
 	retained  retained
+	leaving   leavingServers
 }
 
 // maxCurrentAge is the age of the last current view up to which a change counts as made
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -67,6 +67,7 @@
 	d.countAttempt(j, a)
 	if err == nil && !result.isMisdirected {
 		d.observeLimit(j, a)
+		d.observeLeaving(j, a)
 	}
 	if result.outcome == placement.Abandoned {
 		d.logAbandoned(ctx, j, server.ID)
@@ -83,6 +84,14 @@
 // connection.
 const queueFullResetTime = 25 * time.Millisecond
 
+// observeLeaving records a server that announces in its response that it leaves.
+func (d *Dispatcher) observeLeaving(j *job, a *attempt) {
+	if a.answer.Meta.IsLeaving && d.View.MarkLeaving(time.Now(), a.choice.server.Process()) {
+		d.Counter.Count("servers.leaving")
+		d.Log.Info("backend server announces that it leaves", "id", j.meta.ID, "server", a.choice.server.ID, "service", j.service)
+	}
+}
+
 func (d *Dispatcher) countAttempt(j *job, a *attempt) {
 	d.Counter.Count("attempts." + a.result.name)
 	if a.choice.server.FailureDomain != d.FailureDomain {
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -601,3 +601,56 @@
 		})
 	}
 }
+
+// Guards against requests to a server that announced in a response that it leaves, of which
+// the store says nothing.
+func TestServerThatAnnouncesToLeaveGetsNoFurtherRequests(t *testing.T) {
+	for path, c := range map[string]struct {
+		headers []string
+		grace   time.Duration
+		status  int
+	}{
+		"/safe/x":   {status: http.StatusOK},
+		"/unsafe/x": {status: http.StatusOK},
+		"/keyed/x":  {headers: []string{"Shard-Key", "5"}, grace: time.Second, status: http.StatusServiceUnavailable},
+	} {
+		for _, answer := range []backends.Response{
+			answerOf(200, "Response-Signature", "s", "Server-Leaving", "1"), answerOf(503, "Not-Executed", "1", "Server-Leaving", "1"),
+		} {
+			synctest.Test(t, func(t *testing.T) {
+				leaving := ""
+				w := newFixture(func(_ int, id string, _ backends.Request) (backends.Response, error) {
+					if leaving == "" || leaving == id {
+						leaving = id
+						return answer, nil
+					}
+					return signed(200), nil
+				})
+				w.get(t.Context(), path, c.headers...)
+				first := w.backends.sent[0]
+				time.Sleep(c.grace + time.Millisecond)
+				w.view.MarkCurrent(time.Now())
+				before := len(w.backends.sent)
+				for range 20 {
+					require.Equal(t, c.status, w.get(t.Context(), path, c.headers...).Status, path)
+				}
+				require.NotContains(t, w.backends.sent[before:], first, path)
+			})
+		}
+	}
+}
+
+// Guards against a request that waits for a permit of a server that then announces to leave.
+func TestRequestThatWaitsForAPermitDoesNotGoToAServerThatLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newFixture(func(int, string, backends.Request) (backends.Response, error) {
+			return answerOf(200, "Response-Signature", "s", "Server-Limit", "5"), nil
+		})
+		w.get(t.Context(), "/keyed/x", "Shard-Key", "5")
+		server := w.view.Snapshot().ByID["k1"]
+		w.view.MarkLeaving(time.Now().Add(-950*time.Millisecond), server.Process())
+		answer := w.get(t.Context(), "/keyed/x", "Shard-Key", "5")
+		require.Equal(t, http.StatusServiceUnavailable, answer.Status)
+		require.Len(t, w.backends.sent, 1)
+	})
+}
--- a/internal/traffic/serverlimit/table.go
+++ b/internal/traffic/serverlimit/table.go
@@ -191,14 +191,19 @@
 	digest := uint64(0)
 	for _, e := range t.limits {
 		if e.IsActive() {
-			h := fnv.New64a()
-			_, _ = fmt.Fprintf(h, "%s/%d", e.Server.ID, e.Server.StartedAtMillis)
-			digest ^= h.Sum64()
+			digest ^= Hash(e.Server)
 		}
 	}
 	return digest
 }
 
+// Hash returns a hash of a server process.
+func Hash(server shardmap.Server) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s/%d", server.ID, server.StartedAtMillis)
+	return h.Sum64()
+}
+
 // RemoveUnlisted removes servers that are not listed.
 func (t *Table) RemoveUnlisted(isListed func(id string) bool) {
 	t.mu.Lock()
