Send a server nothing while its Retry-After lasts

A server that turned a request away for some seconds went on to get requests, as retries and first attempts.

Cause: the same as for limits, a header of the response that is dropped unread.

Change: after 503 or 429 with Retry-After, with or without the proof that the request did not run, this instance sends the process nothing until the time has passed on the monotonic clock, counted from when the response was read: no first attempts, retries, hedges, or requests that waited for a permit. Pooled requests choose other servers; the owner's clients, and all clients if no server of a service is left, are refused at once with the rest of the time, and never told to come earlier.

--- a/gateway.go
+++ b/gateway.go
@@ -243,6 +243,8 @@
 	Limit RateLimit
 	// IsLeaving is set if the server announces that it leaves.
 	IsLeaving bool
+	// RetryAfter is how long the server wants no requests from this instance, or zero.
+	RetryAfter time.Duration
 }
 
 // RateLimit is what a backend server's response says about the rate of requests that the
--- a/internal/traffic/dispatch/admission.go
+++ b/internal/traffic/dispatch/admission.go
@@ -47,3 +47,9 @@
 	const minFactor, maxFactor = 0.75, 1.5
 	return time.Duration(float64(retryAfter) * (minFactor + (maxFactor-minFactor)*d.Random()))
 }
+
+// spreadLater randomizes a delay before whose end a retry is useless.
+func (d *Dispatcher) spreadLater(retryAfter time.Duration) time.Duration {
+	const maxExtra = 0.25
+	return time.Duration(float64(retryAfter) * (1 + maxExtra*d.Random()))
+}
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
@@ -68,6 +69,7 @@
 	if err == nil && !result.isMisdirected {
 		d.observeLimit(j, a)
 		d.observeLeaving(j, a)
+		d.observeBackoff(j, a)
 	}
 	if result.outcome == placement.Abandoned {
 		d.logAbandoned(ctx, j, server.ID)
@@ -92,6 +94,18 @@
 	}
 }
 
+// observeBackoff records how long a server that turned the request away wants no others.
+func (d *Dispatcher) observeBackoff(j *job, a *attempt) {
+	status, delay := a.answer.Status, a.answer.Meta.RetryAfter
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests || delay == 0 {
+		return
+	}
+	d.Counter.Count("servers.backoffs")
+	if d.backoffs.Set(time.Now(), a.choice.server.Process(), delay) {
+		d.Log.Info("backend server wants no requests for a time", "id", j.meta.ID, "server", a.choice.server.ID, "service", j.service, "retryAfterMillis", delay.Milliseconds())
+	}
+}
+
 func (d *Dispatcher) countAttempt(j *job, a *attempt) {
 	d.Counter.Count("attempts." + a.result.name)
 	if a.choice.server.FailureDomain != d.FailureDomain {
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -49,6 +49,7 @@
 	ReasonNoOwner         = "noOwner"
 	ReasonOverload        = "overload"
 	ReasonServerLimit     = "serverLimit"
+	ReasonServerBackoff   = "serverBackoff"
 	ReasonTimeout         = "timeout"
 	ReasonNotExecuted     = "notExecuted"
 	ReasonUnknown         = "outcomeUnknown"
@@ -107,6 +108,7 @@
 	Config
 	ownerMisses    ownerMisses
 	clientTimeouts clientTimeouts
+	backoffs       placement.Backoffs
 }
 
 // NewDispatcher returns a dispatcher.
@@ -165,7 +167,7 @@
 	}
 	s := d.View.Snapshot()
 	if s.Config == nil {
-		return d.routerAnswer(j, http.StatusServiceUnavailable, noConfigurationRetryAfter), ReasonNoConfiguration
+		return d.routerAnswer(j, http.StatusServiceUnavailable, d.jitter(noConfigurationRetryAfter)), ReasonNoConfiguration
 	}
 	j.route = s.Routes.Find(j.request.Host, j.request.Path)
 	if j.route == nil {
@@ -280,7 +282,14 @@
 	case ctx.Err() != nil && time.Now().Before(j.deadline):
 		return d.routerAnswer(j, http.StatusServiceUnavailable, 0), ReasonClientGone
 	}
-	return d.routerAnswer(j, http.StatusServiceUnavailable, max(r.retryAfter, minRetryAfter)), r.reason
+	retryAfter := max(r.retryAfter, minRetryAfter)
+	if r.reason == ReasonServerLimit || r.reason == ReasonServerBackoff {
+		// A client that returns earlier is refused again.
+		retryAfter = d.spreadLater(retryAfter)
+	} else {
+		retryAfter = d.jitter(retryAfter)
+	}
+	return d.routerAnswer(j, http.StatusServiceUnavailable, retryAfter), r.reason
 }
 
 // routerAnswer returns a response that the router generates itself.
@@ -288,7 +297,7 @@
 	header := http.Header{}
 	d.Protocol.SetRequestID(header, j.meta.ID)
 	if retryAfter > 0 {
-		d.Protocol.SetRetryAfter(header, d.jitter(retryAfter))
+		d.Protocol.SetRetryAfter(header, retryAfter)
 	}
 	return backends.Response{Status: status, Header: header}
 }
--- a/internal/traffic/dispatch/owner.go
+++ b/internal/traffic/dispatch/owner.go
@@ -67,6 +67,9 @@
 // admitOwner rejects requests that the owner could not answer in time. No other
 // server can run them.
 func (d *Dispatcher) admitOwner(s *view.Snapshot, j *job, c *choice, now time.Time) (*choice, rejection) {
+	if left := d.backoffs.Left(now, c.server.Process()); left > 0 {
+		return nil, rejection{ReasonServerBackoff, left, c}
+	}
 	isFull := !c.hasConnection || c.estimate.QueueLength >= ownerQueuePerSlot*float64(c.server.Slots)
 	if d.shouldShed(j, c, now) || isFull || isOwnerLost(c) || !d.takeWarmupCapacity(s, c.server, now) {
 		return nil, rejection{ReasonOverload, d.overloadRetryAfter(j, c.estimate.Completion, now), c}
--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -17,6 +17,10 @@
 	if len(usable) == 0 {
 		return nil, rejection{reason: ReasonNoServer, retryAfter: noServerRetryAfter}
 	}
+	usable, wait := d.dropBackoffs(usable, now)
+	if len(usable) == 0 {
+		return nil, rejection{reason: ReasonServerBackoff, retryAfter: wait}
+	}
 	canAccept := func(c *choice) bool { return d.hasWarmupCapacity(s, c.server, now) && d.hasPermitRoom(j, c, now) }
 	best, fastest := d.sample(s, j, usable, now, func(c *choice) bool { return canAccept(c) && !c.estimate.IsEjected })
 	if fastest == nil {
@@ -38,6 +42,22 @@
 	return best, rejection{}
 }
 
+// dropBackoffs removes the servers that want no requests from this instance for a time. It
+// returns the shortest of these times.
+func (d *Dispatcher) dropBackoffs(servers []*view.Server, now time.Time) (kept []*view.Server, wait time.Duration) {
+	if d.backoffs.IsEmpty() {
+		return servers, 0
+	}
+	kept = slices.DeleteFunc(servers, func(server *view.Server) bool {
+		left := d.backoffs.Left(now, server.Process())
+		if left > 0 && (wait == 0 || left < wait) {
+			wait = left
+		}
+		return left > 0
+	})
+	return kept, wait
+}
+
 // sample evaluates servers in random order: a few of the instance's own failure
 // domain and a few of the others. It returns the acceptable server with capacity and
 // the lowest cost, and the acceptable one with the lowest expected latency, with or
--- a/internal/traffic/dispatch/server_limit.go
+++ b/internal/traffic/dispatch/server_limit.go
@@ -118,6 +118,9 @@
 // isStillChosen reports whether a request that has waited may still go to its server.
 func (d *Dispatcher) isStillChosen(j *job, c *choice) bool {
 	s, now := d.View.Snapshot(), time.Now()
+	if d.backoffs.Left(now, c.server.Process()) > 0 {
+		return false
+	}
 	if !j.isKeyed() {
 		server := s.ByID[c.server.ID]
 		return server != nil && server.Process() == c.server.Process() && s.IsUsable(server)
