Reject requests that cannot end before a planned stop

What callers saw, as other operators report it: requests that came late in the grace time of a planned stop were sent on and cut at its end, also those that may not be repeated (LOST).

Cause: a request was admitted by its own deadline only. On deployments with deadlines of 4 s and 6 s of grace, one that is taken 2 s after SIGTERM may run until the cut at 5.1 s. On the product's own interface, a request may name a deadline beyond the end of the shutdown.

Change: before each send, a request must be expected to end before the stop cancels the rest; one that may not be repeated with four times its expected latency, or its deadline. Otherwise it gets 503 at once, not run. pkg/caller rejects requests whose deadline lies behind the end of the shutdown.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -61,7 +61,9 @@
 	adminServers   []*http.Server
 	background     sync.WaitGroup
 	isShuttingDown atomic.Bool
-	done           chan struct{}
+	// stopAt is when a shutdown cancels the remaining requests.
+	stopAt atomic.Pointer[time.Time]
+	done   chan struct{}
 }
 
 // NewGateway creates the components and opens all listeners; Run starts serving.
@@ -138,6 +140,7 @@
 		// The other half is the time for the notice of the drain or evacuation to arrive.
 		DrainTimeout:    bounds.DrainTimeout / 2,
 		EvacuateTimeout: bounds.EvacuationTimeout / 2,
+		StopAt:          g.stopTime,
 		Random:          rand.Float64,
 	})
 }
@@ -265,16 +268,25 @@
 	return time.Duration(random() * float64(peers) * float64(registrationDelayPerPeer))
 }
 
+// stopTime returns when the remaining requests are canceled, or the zero time.
+func (g *Gateway) stopTime() time.Time {
+	if at := g.stopAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // shutDown stops accepting clients, and completes the requests of those connected.
 func (g *Gateway) shutDown(resign context.CancelFunc) {
-	startedAt := time.Now()
-	g.log.Info("leaving")
+	stopAt := time.Now().Add(requestGrace(g.node.Bounds.ShutdownGrace))
+	g.stopAt.Store(&stopAt)
+	g.log.Info("leaving", "requestsCanceledAt", stopAt)
 	g.isShuttingDown.Store(true)
 	g.callers.Drain()
 	resign()
 	g.background.Go(g.announceLeaving)
 	time.Sleep(deregistrationDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(requestGrace(g.node.Bounds.ShutdownGrace)))
+	ctx, cancel := context.WithDeadline(context.Background(), stopAt)
 	defer cancel()
 	g.callers.Close(ctx)
 	for _, server := range g.adminServers {
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -100,6 +100,9 @@
 	}
 	for query := 1; ; query++ {
 		c, rejected := d.chooseServer(ctx, j)
+		if c != nil && !d.endsBeforeStop(j, c, time.Now()) {
+			return nil, rejection{reason: ReasonStopping, retryAfter: minRetryAfter}
+		}
 		if c == nil || !d.isLimited(c.server) {
 			return c, rejected
 		}
@@ -115,6 +118,24 @@
 	}
 }
 
+// stopMargin is the latency, as a multiple of the expected one, that must fit before the stop
+// of the instance for a request that cannot be repeated. One in a hundred takes longer.
+const stopMargin = 4
+
+// endsBeforeStop reports whether a request can be expected to end before the instance stops.
+// Another instance can serve it, unless it is sent and cut off.
+func (d *Dispatcher) endsBeforeStop(j *job, c *choice, now time.Time) bool {
+	stopAt := d.StopAt()
+	if stopAt.IsZero() {
+		return true
+	}
+	if j.route.Kind.IsIdempotent() {
+		return !now.Add(c.estimate.Completion).After(stopAt)
+	}
+	latest := now.Add(stopMargin * c.estimate.Completion)
+	return !stopAt.Before(latest) || !stopAt.Before(j.deadline)
+}
+
 func (d *Dispatcher) chooseServer(ctx context.Context, j *job) (*choice, rejection) {
 	if j.isKeyed() {
 		return d.chooseOwner(ctx, j)
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -54,6 +54,7 @@
 	ReasonNotExecuted     = "notExecuted"
 	ReasonUnknown         = "outcomeUnknown"
 	ReasonClientGone      = "clientGone"
+	ReasonStopping        = "stopping"
 )
 
 // Backends sends attempts to backend servers and reports the connections to them.
@@ -99,6 +100,9 @@
 	// evacuated. Its keys move to other servers in the meantime.
 	DrainTimeout    time.Duration
 	EvacuateTimeout time.Duration
+	// StopAt returns when the instance cancels the requests that it still serves, or the zero
+	// time while it does not shut down.
+	StopAt func() time.Time
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -140,7 +140,7 @@
 	w.dispatcher = dispatch.NewDispatcher(dispatch.Config{
 		InstanceName: "a", View: w.view, Backends: w.backends, Protocol: platform.Headers{}, Estimator: &placement.Estimator{},
 		Budget: budget.NewBudget(0.2, 56, 10*time.Second), WarmupLimiter: &pace.Limiter{}, ServerLimiter: newLimiter(), KeyCounter: discardCounter{}, Counter: discardCounter{}, Log: log,
-		WarmupOverrun: 1.5, WarmupSlack: 5, DrainTimeout: time.Second, EvacuateTimeout: 2 * time.Second, Random: random.Float64,
+		WarmupOverrun: 1.5, WarmupSlack: 5, DrainTimeout: time.Second, EvacuateTimeout: 2 * time.Second, Random: random.Float64, StopAt: func() time.Time { return time.Time{} },
 	})
 	return w
 }
--- a/pkg/caller/router.go
+++ b/pkg/caller/router.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -45,6 +46,8 @@
 	// recordCtx ends when journal writes must no longer be retried.
 	recordCtx     context.Context
 	stopRecording context.CancelFunc
+	// stopAt is when a shutdown closes the connections that are left.
+	stopAt atomic.Pointer[time.Time]
 }
 
 // NewRouter returns a router that uses the components of config.
@@ -63,6 +66,16 @@
 // Done returns a channel that is closed when Close returns.
 func (r *Router) Done() <-chan struct{} { return r.done }
 
+// StopAt makes the router reject further requests that may last until a time, at which the
+// shutdown closes the connections that are left.
+func (r *Router) StopAt(at time.Time) { r.stopAt.Store(&at) }
+
+// endsBeforeStop reports whether a request ends before the connections are closed.
+func (r *Router) endsBeforeStop(q *request) bool {
+	at := r.stopAt.Load()
+	return at == nil || q.deadline.Before(*at)
+}
+
 // Close waits for requests in flight and their journal writes, or until the context
 // ends. It then stops retrying journal writes.
 func (r *Router) Close(ctx context.Context) {
@@ -113,6 +126,10 @@
 		return
 	}
 	w.Header().Set(redwingstall.HeaderRequestID, q.requestID)
+	if !r.endsBeforeStop(q) {
+		r.writeRefusal(w, refusal{redwingstall.OutcomeNotRun, "stopping", http.StatusServiceUnavailable, "the instance stops before the request's deadline"})
+		return
+	}
 	ctx, cancel := context.WithDeadline(incoming.Context(), q.deadline)
 	defer cancel()
 	if q.isJournaled() {
