Test refusals of other requests and heads that break off

Two reports of other operators, not found here on either path: an earlier refusal that is written once more on a kept connection, and an answer that stops in its head, at each byte of it.

--- a/internal/entry/backends/backends_test.go
+++ b/internal/entry/backends/backends_test.go
@@ -235,3 +235,63 @@
 		t.Fatal("the connection stays open after the attempt was canceled")
 	}
 }
+
+// Guards against the answer of an earlier request, written once more, that is taken for the
+// refusal of the one that waits.
+func TestRefusalOfAnotherRequestPromisesNothing(t *testing.T) {
+	for name, stray := range map[string]string{
+		"of the request before": "HTTP/1.1 503 Full\r\nRequest-Id: 1\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"without an id":         "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"with a body":           "HTTP/1.1 503 Full\r\nRequest-Id: 1\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull",
+		"misdirected":           "HTTP/1.1 421 Misdirected\r\nRequest-Id: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for _, isAnswered := range []bool{true, false} {
+			s := serve(t, func(n int, r *http.Request, c net.Conn) {
+				if n == 1 {
+					reply(c, "1", "first")
+					return
+				}
+				_, _ = io.WriteString(c, stray)
+				if !isAnswered {
+					_ = c.Close()
+					return
+				}
+				reply(c, r.Header.Get("Request-Id"), "second")
+			})
+			p := pool()
+			_, err := do(p, s, "1")
+			require.NoError(t, err)
+			answer, err := do(p, s, "2")
+			if isAnswered {
+				require.NoError(t, err, name)
+				require.Equal(t, "second", string(answer.Body), name)
+				continue
+			}
+			attempt := &backends.Error{}
+			require.ErrorAs(t, err, &attempt, name)
+			require.True(t, attempt.IsSent, name)
+		}
+	}
+}
+
+// Guards against an answer that breaks off in its head and is passed on as a whole one.
+func TestAnswerThatBreaksOffInItsHeadIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Signature: s\r\nContent-Length: 12\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nResponse-Signature: s\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nRequest-Id: 1\r\nNot-Executed: 1\r\n\r\n",
+	} {
+		for end := range len(head) {
+			s := serve(t, func(_ int, _ *http.Request, c net.Conn) {
+				_, _ = io.WriteString(c, head[:end])
+				_ = c.Close()
+			})
+			answer, err := do(pool(), s, "1")
+			attempt := &backends.Error{}
+			require.ErrorAs(t, err, &attempt, "%q: %v", head[:end], answer)
+			require.True(t, attempt.IsSent)
+			_ = s.listener.Close()
+		}
+	}
+}
--- a/pkg/backend/attempt_test.go
+++ b/pkg/backend/attempt_test.go
@@ -196,3 +196,64 @@
 	require.Len(t, requests, 2, "two calls send exactly two requests")
 	require.Equal(t, "key", <-requests, "the server receives the idempotency key")
 }
+
+// Guards against the answer of an earlier request, written once more on a kept connection, that
+// is taken for the refusal of the one that waits.
+func TestRefusalOfAnotherRequestPromisesNothing(t *testing.T) {
+	for _, id := range []string{"Request-Id: r1\r\n", ""} {
+		server := newRawServer(t, func(c net.Conn, run func()) {
+			reader := bufio.NewReader(c)
+			for n := 0; ; n++ {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				if n == 0 {
+					_, _ = io.WriteString(c, okResponse("r1", "Content-Length: 0\r\n\r\n"))
+					continue
+				}
+				run()
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Unavailable\r\n"+id+"Redwing-Refusal: shed\r\nContent-Length: 0\r\n\r\n")
+				_, _ = io.WriteString(c, okResponse("r2", "Content-Length: 0\r\n\r\n"))
+			}
+		})
+		client := backend.NewClient(server.listener.Addr().String(), 10)
+		send := func(id string) error {
+			request := chargeRequest(id)
+			request.AtMostOnce, request.Body, request.Length = false, nil, 0
+			response, err := client.Do(t.Context(), request)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, response.Body)
+				err = response.Body.Close()
+			}
+			return err
+		}
+		require.NoError(t, send("r1"))
+		err := send("r2")
+		attempt := &backend.AttemptError{}
+		require.True(t, errors.As(err, &attempt))
+		require.Equal(t, redwingstall.OutcomeUnknown, attempt.Outcome)
+		client.Close()
+	}
+}
+
+// Guards against an answer that breaks off in its head and is passed on as a whole one.
+func TestAnswerThatBreaksOffInItsHeadIsNoAnswer(t *testing.T) {
+	for _, head := range []string{
+		okResponse("r1", "Content-Length: 12\r\n\r\n"), okResponse("r1", "Transfer-Encoding: chunked\r\n\r\n"), okResponse("r1", "Connection: close\r\n\r\n"),
+		"HTTP/1.1 503 Unavailable\r\nRequest-Id: r1\r\nRedwing-Refusal: shed\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for end := range len(head) {
+			server := newRawServer(t, func(c net.Conn, _ func()) {
+				readRequest(c)
+				_, _ = io.WriteString(c, head[:end])
+			})
+			client := backend.NewClient(server.listener.Addr().String(), 10)
+			_, err := client.Do(t.Context(), chargeRequest("r1"))
+			attempt := &backend.AttemptError{}
+			require.True(t, errors.As(err, &attempt), "%q", head[:end])
+			require.Equal(t, redwingstall.OutcomeUnknown, attempt.Outcome, "%q", head[:end])
+			client.Close()
+			_ = server.listener.Close()
+		}
+	}
+}
