--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -27,6 +27,14 @@
 	// the start count of the instance.
 	mu             sync.Mutex
 	servedVersions map[int]int64
+	// leavingSeen holds when a response of a server said that it leaves.
+	leavingSeen map[leavingKey]time.Time
+}
+
+// leavingKey is a server whose response passed through an instance since its last start.
+type leavingKey struct {
+	generation int
+	server     string
 }
 
 const (
@@ -62,6 +70,7 @@
 	}
 	request.Host = "h"
 	platformtest.SetRequest(request.Header, id, clientTimeout, key)
+	sentAt, generation := time.Now(), c.instance.startCount()
 	answer, err := c.http.Do(request)
 	if err != nil {
 		return 0
@@ -72,6 +81,7 @@
 		return 0
 	}
 	c.soak.count(answer.StatusCode)
+	c.checkLeaving(id, answer.Header, sentAt, generation)
 	switch answer.StatusCode {
 	case http.StatusOK:
 		if want := id + " " + path + " body of " + id; string(body) != want {
@@ -109,3 +119,24 @@
 		c.soak.ledger.RecordViolation("%s has not applied configuration version %d after %v", c.instance.name, version, time.Since(writtenAt))
 	}
 }
+
+// checkLeaving checks that an instance which has passed on a server's announcement to leave
+// sends it no request that a client sent later than drainBound after that. A disturbance of
+// the instance since then excuses it.
+func (c *client) checkLeaving(id string, header http.Header, sentAt time.Time, generation int) {
+	server, isLeaving := platformtest.AnnouncesLeaving(header)
+	if !isLeaving || c.instance.startCount() != generation {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := leavingKey{generation, server}
+	seenAt, wasSeen := c.leavingSeen[key]
+	if !wasSeen {
+		c.leavingSeen[key] = time.Now()
+		return
+	}
+	if sentAt.Sub(seenAt) > drainBound && c.instance.undisturbedFor() > time.Since(seenAt) {
+		c.soak.ledger.RecordViolation("request %s went to %s through %s, %v after it had passed on that the server leaves", id, server, c.instance.name, sentAt.Sub(seenAt))
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -110,6 +110,7 @@
 		clients.Go(func() { c.run(ctx) })
 	}
 	var faults sync.WaitGroup
+	faults.Go(func() { s.makeDemands(config.Duration) })
 	if config.RestoresStore {
 		restore, delay := s.drawFault(namedFault{"restoreStore", s.restoreStore}), s.random.Int64N(int64(config.Duration))
 		faults.Go(func() {
@@ -228,7 +229,7 @@
 
 func (s *Soak) client(n int) *client {
 	return &client{
-		soak: s, instance: s.instances[n%len(s.instances)], number: n, servedVersions: map[int]int64{},
+		soak: s, instance: s.instances[n%len(s.instances)], number: n, servedVersions: map[int]int64{}, leavingSeen: map[leavingKey]time.Time{},
 		random: rand.New(rand.NewPCG(s.config.Seed, uint64(n)+10)),
 		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 	}
