Read what servers say in their responses to orders

What callers saw: nothing; found in the search for the same cause as of the exceeded limits. The responses to grants and releases were read for their status and the handover only. An owner of keys without requests would announce in vain that it leaves.

Change: the leader passes on what such a response says of limits and departures. One without a limit does not end a limit.

--- a/gateway.go
+++ b/gateway.go
@@ -203,11 +203,12 @@
 // command seconds later. [ErrFenced] means that the server has seen a higher
 // fencing token. [ErrConnectionRefused] means that no process listens at the address.
 // [ErrAddressReassigned] means that another server has taken over the address; it
-// ignores the command.
+// ignores the command. The meta is what the server's response says, if there is one, also
+// beside an error.
 type KeyOwner interface {
-	Grant(ctx context.Context, server, address string, grant KeyGrant) error
+	Grant(ctx context.Context, server, address string, grant KeyGrant) (ResponseMeta, error)
 	// Release returns the handover data after all requests on the keys have ended.
-	Release(ctx context.Context, server, address string, keys KeyRange, fence int64) (handover string, err error)
+	Release(ctx context.Context, server, address string, keys KeyRange, fence int64) (handover string, meta ResponseMeta, err error)
 }
 
 // RequestMeta is the information in a request's headers for the router.
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/observe/metrics"
 	"github.com/redwingstall/redwingstall/internal/ownership/leader"
+	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/traffic/budget"
 	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
@@ -99,6 +100,7 @@
 	g.leader = leader.NewLeader(leader.Config{
 		Name: node.Name, Store: platform.Store, OwnerClient: platform.OwnerClient, View: g.view,
 		IsFirstStart: node.IsFirstStart, Load: capacityEstimator{g}, Clock: boottime.Now, MaxGrantTTL: node.Bounds.MaxGrantTTL, Log: log,
+		ObserveResponse: g.observeOrderResponse,
 	})
 	g.callers, err = callers.Listen(node.FrontAddress, callers.Config{
 		Handler: g.newDispatcher(platform),
@@ -114,6 +116,21 @@
 	return g, g.openAdmin(platform.ReadyPath)
 }
 
+// observeOrderResponse records what a server says in the response to an order. One without a
+// limit does not end a limit, since it may be no response at all.
+func (g *Gateway) observeOrderResponse(server shardmap.Server, meta redwingstall.ResponseMeta, sentAt time.Time) {
+	now := time.Now()
+	if meta.IsLeaving && g.view.MarkLeaving(now, server) {
+		g.log.Info("backend server announces that it leaves", "server", server.ID, "source", "order")
+	}
+	if !meta.Limit.IsNamed {
+		return
+	}
+	if known, hasChanged := g.limiter.Table.Observe(server, meta.Limit, sentAt, now); hasChanged {
+		g.log.Info("limit of backend server", "server", server.ID, "perSecond", known.Rate, "source", "order")
+	}
+}
+
 // instances returns the instances that may coordinate the limits of servers.
 func (g *Gateway) instances() serverlimit.Instances {
 	s := g.view.Snapshot()
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -86,6 +86,9 @@
 	// Clock is a monotonic clock that includes the time in which the machine is
 	// suspended.
 	Clock func() time.Duration
+	// ObserveResponse gets what a server process says in its response to an order, or zero.
+	// It may be nil.
+	ObserveResponse func(server shardmap.Server, meta redwingstall.ResponseMeta, sentAt time.Time)
 	// MaxGrantTTL is the configured limit of a grant's time to live.
 	MaxGrantTTL time.Duration
 	Log         *slog.Logger
@@ -539,15 +542,20 @@
 func (l *Leader) callOwner(ctx context.Context, name string, command assign.Command) assign.Result {
 	var err error
 	var result assign.Result
+	var meta redwingstall.ResponseMeta
+	sentAt := time.Now()
 	switch command.Kind {
 	case assign.CommandGrant:
 		bounded, cancel := context.WithTimeout(ctx, GrantTimeout)
 		defer cancel()
-		err = l.OwnerClient.Grant(bounded, command.Owner.ID, command.Address, redwingstall.KeyGrant{KeyRange: command.Keys, Fence: command.Fence, TTL: command.GrantTTL, Handover: command.Handover})
+		meta, err = l.OwnerClient.Grant(bounded, command.Owner.ID, command.Address, redwingstall.KeyGrant{KeyRange: command.Keys, Fence: command.Fence, TTL: command.GrantTTL, Handover: command.Handover})
 	case assign.CommandRelease:
 		bounded, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		result.Handover, err = l.OwnerClient.Release(bounded, command.Owner.ID, command.Address, command.Keys, command.Fence)
+		result.Handover, meta, err = l.OwnerClient.Release(bounded, command.Owner.ID, command.Address, command.Keys, command.Fence)
+	}
+	if l.ObserveResponse != nil {
+		l.ObserveResponse(command.Owner, meta, sentAt)
 	}
 	result.IsFenced = errors.Is(err, redwingstall.ErrFenced)
 	result.IsConnectionRefused = errors.Is(err, redwingstall.ErrConnectionRefused)
--- a/internal/soak/demands.go
+++ b/internal/soak/demands.go
@@ -24,7 +24,7 @@
 		case 1:
 			s.announceLeaving(b)
 		default:
-			rate, pause := 1+9*random.Float64(), time.Duration(4000+random.IntN(6000))*time.Millisecond
+			rate, pause := 0.5+4*random.Float64(), time.Duration(4000+random.IntN(6000))*time.Millisecond
 			s.printf("%s names a limit of %.1f per second for %v", b.ID, rate, pause)
 			b.SetLimit(rate)
 			time.Sleep(pause)
