Tell clients when a limited service has room, and test who gets permits

What callers saw: if all servers of a pooled service were at their limits, clients were told to return after half an execution time, and were refused again.

Cause: the refusal did not look at when the next permits are due. Change: it names the time of the first server that may have one.

--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -6,6 +6,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
+
 	"github.com/redwingstall/redwingstall/internal/entry/callers"
 )
 
@@ -24,3 +29,16 @@
 	require.Equal(t, 300*time.Millisecond, registrationDelay(300, half))
 	require.Less(t, registrationDelay(6, half), 10*time.Millisecond)
 }
+
+// Guards against keys that stay at an owner which names a limit far below what it could do.
+func TestCapacityOfAServerIsAtMostItsLimit(t *testing.T) {
+	g := &Gateway{estimator: &placement.Estimator{}, limiter: &serverlimit.Limiter{Table: &serverlimit.Table{}}}
+	server := &view.Server{BackendEntry: redwingstall.BackendEntry{ID: "s", Service: "x", Slots: 4, StartedAtMillis: 1}}
+	full := capacityEstimator{g}.Capacity(server)
+	require.Greater(t, full, 20.0)
+	now := time.Now()
+	g.limiter.Table.Observe(server.Process(), redwingstall.RateLimit{Rate: 4, IsNamed: true}, now, now)
+	require.InDelta(t, 4, capacityEstimator{g}.Capacity(server), 0)
+	g.limiter.Table.Observe(server.Process(), redwingstall.RateLimit{}, now, now)
+	require.InDelta(t, full, capacityEstimator{g}.Capacity(server), 0)
+}
--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -30,7 +30,7 @@
 	switch {
 	case fastest == nil:
 		// All servers are at their limits, of warm-up or of their own.
-		return nil, rejection{reason: ReasonOverload, retryAfter: d.notExecutedRetryAfter(j)}
+		return nil, d.rejectAtLimits(j, usable, now)
 	case best == nil:
 		return nil, rejection{ReasonOverload, max(fastest.estimate.Completion/2, d.notExecutedRetryAfter(j)), fastest}
 	case d.shouldShed(j, best, now):
@@ -42,6 +42,21 @@
 	return best, rejection{}
 }
 
+// rejectAtLimits rejects a request that no server has capacity for. If the servers have named
+// limits, the client is told when the first of them may have a permit.
+func (d *Dispatcher) rejectAtLimits(j *job, servers []*view.Server, now time.Time) rejection {
+	wait := time.Duration(0)
+	for _, server := range servers {
+		if left := d.ServerLimiter.FreeIn(now, server.Process()); left > 0 && (wait == 0 || left < wait) {
+			wait = left
+		}
+	}
+	if wait == 0 {
+		return rejection{reason: ReasonOverload, retryAfter: d.notExecutedRetryAfter(j)}
+	}
+	return rejection{reason: ReasonServerLimit, retryAfter: wait}
+}
+
 // dropBackoffs removes the servers that want no requests from this instance for a time. It
 // returns the shortest of these times.
 func (d *Dispatcher) dropBackoffs(servers []*view.Server, now time.Time) (kept []*view.Server, wait time.Duration) {
--- a/internal/traffic/dispatch/server_limit_test.go
+++ b/internal/traffic/dispatch/server_limit_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
@@ -134,3 +135,68 @@
 		Count: func(string) {},
 	}
 }
+
+// Guards against requests that stay at a server with a limit while another one has room, and
+// against clients that are told to return before any server has.
+func TestPooledRequestsGoWhereThereIsRoom(t *testing.T) {
+	for name, limited := range map[string]int{"one limited": 1, "all limited": 3} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newFixture(func(_ int, id string, _ backends.Request) (backends.Response, error) {
+				time.Sleep(20 * time.Millisecond)
+				answer := signed(200)
+				if id <= fmt.Sprint("s", limited) {
+					answer.Header.Set("Server-Limit", "1")
+				}
+				return answer, nil
+			})
+			refused := 0
+			for n := range 400 {
+				answer := w.get(t.Context(), "/safe/x")
+				if n > 50 && answer.Status != http.StatusOK {
+					refused++
+					seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+					require.NoError(t, err)
+					require.Greater(t, seconds, 0.0)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			if limited == 1 {
+				require.Zero(t, refused, name)
+				return
+			}
+			require.Positive(t, refused, name)
+		})
+	}
+}
+
+// Guards against urgent requests that find no permit since others wait for all of them.
+func TestUrgentRequestsGetPermitsBeforeOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newLimitedFleet(4)
+		config := configuration()
+		urgent := config.Routes[2]
+		urgent.Name, urgent.Prefix = "urgent", "/urgent/"
+		config.Routes[2].Priority = 2
+		config.Version, config.Routes = 2, append(config.Routes, urgent)
+		for _, i := range f.instances {
+			i.view.Apply(time.Now(), []redwingstall.Event{redwingstall.ConfigurationChanged{Configuration: config}}, false)
+		}
+		served := map[string]int{}
+		mu := sync.Mutex{}
+		random := rand.New(rand.NewPCG(3, 3))
+		for range 400 {
+			time.Sleep(time.Duration(random.ExpFloat64() * float64(50*time.Millisecond)))
+			instance, path := f.instances[random.IntN(4)], []string{"/keyed/x", "/keyed/x", "/keyed/x", "/urgent/x"}[random.IntN(4)]
+			go func() {
+				if instance.get(t.Context(), path, "Shard-Key", "5").Status == http.StatusOK {
+					mu.Lock()
+					defer mu.Unlock()
+					served[path]++
+				}
+			}()
+		}
+		time.Sleep(2 * time.Second)
+		t.Logf("served: %v", served)
+		require.Greater(t, float64(served["/urgent/x"])/100, 2*float64(served["/keyed/x"])/300)
+	})
+}
--- a/internal/traffic/serverlimit/limiter.go
+++ b/internal/traffic/serverlimit/limiter.go
@@ -102,6 +102,14 @@
 	return !l.fullUntil[server].After(now.Add(maxWait))
 }
 
+// FreeIn returns when a server may have a permit again, as far as this instance knows, or
+// zero if it may have one now.
+func (l *Limiter) FreeIn(now time.Time, server shardmap.Server) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.fullUntil[server].Sub(now), 0)
+}
+
 func (l *Limiter) acquire(ctx context.Context, limit Limit, maxWait time.Duration) Permit {
 	instances := l.Instances()
 	query := Query{Limit: limit, MaxWait: maxWait}
