Keep a server that says it is cold at the warm-up rate

Warmup-Remaining was parsed and not used: a server that becomes cold again got requests at the usual rate until its entry said so, and it may crash of that.

Change: the time left counts from when the response was read, for this instance, at its share of the warm-up rate. Values that are negative, huge or no numbers have no effect or are bounded.

TestServerThatAnnouncesItsWarmupGetsTheWarmupRate fails with the call of observeWarmup taken out.

--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -70,6 +70,7 @@
 		d.observeLimit(j, a)
 		d.observeLeaving(j, a)
 		d.observeBackoff(j, a)
+		d.observeWarmup(j, a)
 	}
 	if result.outcome == placement.Abandoned {
 		d.logAbandoned(ctx, j, server.ID)
@@ -101,11 +102,20 @@
 		return
 	}
 	d.Counter.Count("servers.backoffs")
-	if d.backoffs.Set(time.Now(), a.choice.server.Process(), delay) {
+	if d.backoffs.Extend(time.Now(), a.choice.server.Process(), delay) {
 		d.Log.Info("backend server wants no requests for a time", "id", j.meta.ID, "server", a.choice.server.ID, "service", j.service, "retryAfterMillis", delay.Milliseconds())
 	}
 }
 
+// observeWarmup records a server that says in its response that it is in warm-up, which its
+// entry may not say yet.
+func (d *Dispatcher) observeWarmup(j *job, a *attempt) {
+	left := a.answer.Meta.WarmupLeft
+	if d.warmups.Extend(time.Now(), a.choice.server.Process(), left) {
+		d.Log.Info("backend server is in warm-up", "id", j.meta.ID, "server", a.choice.server.ID, "service", j.service, "leftMillis", left.Milliseconds())
+	}
+}
+
 func (d *Dispatcher) countAttempt(j *job, a *attempt) {
 	d.Counter.Count("attempts." + a.result.name)
 	if a.choice.server.FailureDomain != d.FailureDomain {
--- a/internal/traffic/dispatch/backoff_test.go
+++ b/internal/traffic/dispatch/backoff_test.go
@@ -90,3 +90,19 @@
 		require.Equal(t, http.StatusOK, w.get(t.Context(), "/keyed/x", "Shard-Key", "5").Status)
 	})
 }
+
+// Guards against requests above the warm-up rate to a server that says in its responses that it
+// is cold again, before its entry does.
+func TestServerThatAnnouncesItsWarmupGetsTheWarmupRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newFixture(func(int, string, backends.Request) (backends.Response, error) {
+			return answerOf(200, "Response-Signature", "s", "Warmup-Remaining", "3000"), nil
+		})
+		w.get(t.Context(), "/keyed/x", "Shard-Key", "5")
+		for range 100 {
+			w.get(t.Context(), "/keyed/x", "Shard-Key", "5")
+			time.Sleep(9 * time.Millisecond)
+		}
+		require.LessOrEqual(t, len(w.backends.sent), 13, "5.7 per second, half more and 5")
+	})
+}
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -182,11 +182,15 @@
 // hasWarmupCapacity reports whether this instance may send a request to the server
 // at this time, as far as warm-up limits it.
 func (d *Dispatcher) hasWarmupCapacity(s *view.Snapshot, server *view.Server, now time.Time) bool {
-	return !server.IsWarmingUp(now) || d.WarmupLimiter.HasCapacity(now, server.ID, d.warmupShare(s, server))
+	return !d.isWarmingUp(server, now) || d.WarmupLimiter.HasCapacity(now, server.ID, d.warmupShare(s, server))
 }
 
 func (d *Dispatcher) takeWarmupCapacity(s *view.Snapshot, server *view.Server, now time.Time) bool {
-	return !server.IsWarmingUp(now) || d.WarmupLimiter.Allow(now, server.ID, d.warmupShare(s, server))
+	return !d.isWarmingUp(server, now) || d.WarmupLimiter.Allow(now, server.ID, d.warmupShare(s, server))
+}
+
+func (d *Dispatcher) isWarmingUp(server *view.Server, now time.Time) bool {
+	return server.IsWarmingUp(now) || d.warmups.Left(now, server.Process()) > 0
 }
 
 // warmupShare returns the requests per second that this instance may send to a
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -112,7 +112,10 @@
 	Config
 	ownerMisses    ownerMisses
 	clientTimeouts clientTimeouts
-	backoffs       placement.Backoffs
+	// backoffs are the servers that want no requests from this instance for a time, and
+	// warmups those that are in warm-up by their own word.
+	backoffs placement.Timers
+	warmups  placement.Timers
 }
 
 // NewDispatcher returns a dispatcher.
