Let the last instances coordinate limits while all of them stop

What callers saw: a single instance, or a fleet of which all instances leave, would reject all requests to limited servers while it stops, since no instance that stays is left to grant permits. Found while reading the change. Then those that leave coordinate; the test fails without it.

--- a/internal/fleet/peers/servers.go
+++ b/internal/fleet/peers/servers.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// serverPrefix is the first byte of messages about servers. Instances that
-	// do not know these messages ignore them.
+	// serverPrefix is the first byte of messages about servers. Earlier versions cannot
+	// decode them, and log that.
 	serverPrefix = 0x00
 	// askTimeout is how long one query waits for its reply, and askTries how often it is
 	// sent. Round trips take 2 ms; the rest is for a busy instance.
@@ -29,7 +29,7 @@
 	// shorter intervals.
 	startupTime           = time.Second
 	startupDigestInterval = 300 * time.Millisecond
-	// maxRowsPerMessage bounds a message to about 6 KB.
+	// maxRowsPerMessage bounds a message to about 10 KB.
 	maxRowsPerMessage = 200
 	// delayMargin is the most that a message is assumed to have traveled. What it says
 	// about the start of a request is taken to be older by it.
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -131,9 +131,13 @@
 	}
 }
 
-// instances returns the instances that may coordinate the limits of servers.
+// instances returns the instances that may coordinate the limits of servers: those that stay,
+// or all if none does.
 func (g *Gateway) instances() serverlimit.Instances {
 	s := g.view.Snapshot()
+	if len(s.StayingPeers) == 0 {
+		return serverlimit.Instances{Names: s.PeerNames, Version: s.PeersVersion}
+	}
 	return serverlimit.Instances{Names: s.StayingPeers, Version: s.PeersVersion}
 }
 
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"testing"
 	"time"
 
@@ -42,3 +43,21 @@
 	g.limiter.Table.Observe(server.Process(), redwingstall.RateLimit{}, now, now)
 	require.InDelta(t, full, capacityEstimator{g}.Capacity(server), 0)
 }
+
+// Guards against limited servers that get nothing from the last instance while it stops.
+func TestLeavingInstancesCoordinateLimitsIfNoneStays(t *testing.T) {
+	g := &Gateway{view: view.NewView(slog.New(slog.DiscardHandler), 0)}
+	list := func(name string, isLeaving bool) {
+		record, err := view.PeerRecord(view.Peer{Name: name, IsLeaving: isLeaving})
+		require.NoError(t, err)
+		g.view.Apply(time.Now(), []redwingstall.Event{redwingstall.RecordChanged{Change: redwingstall.Change{Item: record}}}, false)
+	}
+	list("a", true)
+	require.Equal(t, []string{"a"}, g.instances().Names)
+	before := g.instances().Version
+	list("b", false)
+	require.Equal(t, []string{"b"}, g.instances().Names)
+	require.NotEqual(t, before, g.instances().Version)
+	g.view.Apply(time.Now(), []redwingstall.Event{redwingstall.EvacuationChanged{FailureDomain: "x", IsActive: true}}, false)
+	require.Equal(t, before+1, g.instances().Version, "the same instances")
+}
