--- a/internal/traffic/dispatch/server_limit_test.go
+++ b/internal/traffic/dispatch/server_limit_test.go
@@ -182,20 +182,20 @@
 			i.view.Apply(time.Now(), []redwingstall.Event{redwingstall.ConfigurationChanged{Configuration: config}}, false)
 		}
 		served := map[string]int{}
-		mu := sync.Mutex{}
+		mu, requests := sync.Mutex{}, sync.WaitGroup{}
 		random := rand.New(rand.NewPCG(3, 3))
 		for range 400 {
 			time.Sleep(time.Duration(random.ExpFloat64() * float64(50*time.Millisecond)))
 			instance, path := f.instances[random.IntN(4)], []string{"/keyed/x", "/keyed/x", "/keyed/x", "/urgent/x"}[random.IntN(4)]
-			go func() {
+			requests.Go(func() {
 				if instance.get(t.Context(), path, "Shard-Key", "5").Status == http.StatusOK {
 					mu.Lock()
 					defer mu.Unlock()
 					served[path]++
 				}
-			}()
+			})
 		}
-		time.Sleep(2 * time.Second)
+		requests.Wait()
 		t.Logf("served: %v", served)
 		require.Greater(t, float64(served["/urgent/x"])/100, 2*float64(served["/keyed/x"])/300)
 	})
--- a/internal/traffic/serverlimit/fleet_test.go
+++ b/internal/traffic/serverlimit/fleet_test.go
@@ -306,6 +306,7 @@
 						}()
 						f.load(30, 20*time.Second)
 						time.Sleep(6 * time.Second)
+						synctest.Wait()
 						most := f.mostInWindow(window)
 						require.LessOrEqual(t, most, int(1.5*f.rate*window.Seconds()+5))
 						if name == "calm" {
