--- a/internal/fleet/peers/fleet_test.go
+++ b/internal/fleet/peers/fleet_test.go
@@ -164,7 +164,7 @@
 			v := view.NewView(log, 0)
 			views = append(views, v)
 			m.exchange = newExchange(self, m.socket, v, m.estimator, m.keys, func(string, int64) {}, log)
-			m.limiter = &serverlimit.Limiter{Self: m.name, Table: &serverlimit.Table{}, Transport: m.exchange, Count: func(string) {}, Instances: func() serverlimit.Instances {
+			m.limiter = &serverlimit.Limiter{Self: m.name, Table: &serverlimit.Table{}, Transport: m.exchange, Count: func(string) {}, Log: log, Instances: func() serverlimit.Instances {
 				s := v.Snapshot()
 				return serverlimit.Instances{Names: s.StayingPeers, Version: s.PeersVersion}
 			}}
--- a/internal/fleet/peers/servers.go
+++ b/internal/fleet/peers/servers.go
@@ -132,7 +132,8 @@
 	return time.Duration(min(max(n, 0), maxAge.Microseconds())) * time.Microsecond
 }
 
-// ShareLimits makes the exchange carry the limits of servers. It must be called before Run.
+// ShareLimits makes the exchange carry the limits of servers, queries for permits and which
+// servers leave. It must be called before Run.
 func (e *Exchange) ShareLimits(limiter *serverlimit.Limiter) { e.limiter = limiter }
 
 var _ serverlimit.Transport = (*Exchange)(nil)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -84,7 +84,7 @@
 		return nil, err
 	}
 	g.limiter = &serverlimit.Limiter{
-		Self: node.Name, Table: &serverlimit.Table{}, Instances: g.instances, Transport: g.exchange, Count: g.metrics.Count,
+		Self: node.Name, Table: &serverlimit.Table{}, Instances: g.instances, Transport: g.exchange, Count: g.metrics.Count, Log: log,
 	}
 	g.exchange.ShareLimits(g.limiter)
 	record, err := view.PeerRecord(g.exchange.Self())
--- a/internal/traffic/dispatch/server_limit_test.go
+++ b/internal/traffic/dispatch/server_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -132,7 +133,7 @@
 func newLimiter() *serverlimit.Limiter {
 	return &serverlimit.Limiter{
 		Self: "a", Table: &serverlimit.Table{}, Instances: func() serverlimit.Instances { return serverlimit.Instances{Names: []string{"a"}} },
-		Count: func(string) {},
+		Count: func(string) {}, Log: slog.New(slog.DiscardHandler),
 	}
 }
 
--- a/internal/traffic/serverlimit/fleet_test.go
+++ b/internal/traffic/serverlimit/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -59,7 +60,7 @@
 // start starts a process, which knows no limit and no other instance.
 func (f *fleet) start(name string) *instance {
 	i := &instance{name: name}
-	i.limiter = &serverlimit.Limiter{Self: name, Table: &serverlimit.Table{}, Transport: link{f, i}, Count: func(string) {}, Instances: func() serverlimit.Instances {
+	i.limiter = &serverlimit.Limiter{Self: name, Table: &serverlimit.Table{}, Transport: link{f, i}, Count: func(string) {}, Log: slog.New(slog.DiscardHandler), Instances: func() serverlimit.Instances {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return i.listed
--- a/internal/traffic/serverlimit/limiter.go
+++ b/internal/traffic/serverlimit/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -61,6 +62,7 @@
 	Transport Transport
 	// Count counts an event.
 	Count func(name string)
+	Log   *slog.Logger
 
 	coordinator Coordinator
 	// isolated grants the permits of this instance while it reaches no coordinator.
@@ -140,7 +142,7 @@
 	reply, err := l.Transport.Ask(ctx, name, query)
 	if err != nil {
 		if ctx.Err() == nil {
-			l.suspect(name)
+			l.suspect(name, err)
 		}
 		return Reply{}, false
 	}
@@ -200,8 +202,9 @@
 	return time.Now().Before(l.suspectedTo[name])
 }
 
-func (l *Limiter) suspect(name string) {
+func (l *Limiter) suspect(name string, cause error) {
 	l.Count("serverLimits.unanswered")
+	l.Log.Warn("coordinator of limited servers does not answer", "peer", name, "askedAgainAfter", suspicionTime.String(), "error", cause.Error())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.suspectedTo == nil {
@@ -223,12 +226,3 @@
 		}
 	}
 }
-
-// CoordinatorOf returns the first choice for the coordinator of a server, or nothing if no
-// instance is known.
-func (l *Limiter) CoordinatorOf(server string) string {
-	if ranked := l.coordinators(server, l.Instances()); len(ranked) > 0 {
-		return ranked[0]
-	}
-	return ""
-}
--- a/internal/traffic/serverlimit/table.go
+++ b/internal/traffic/serverlimit/table.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -69,7 +70,6 @@
 	limits map[string]*entry
 	// changed holds the servers with changes that the other instances do not know.
 	changed map[string]bool
-	active  int
 }
 
 type entry struct {
@@ -124,9 +124,7 @@
 	} else if !observed.replaces(e.Limit) {
 		return false
 	}
-	t.count(e.Limit, -1)
 	e.Limit = observed
-	t.count(e.Limit, 1)
 	if !observed.isSignificant(e.notified) {
 		return false
 	}
@@ -134,12 +132,6 @@
 	return true
 }
 
-func (t *Table) count(l Limit, n int) {
-	if l.IsActive() {
-		t.active += n
-	}
-}
-
 // Find returns the limit of a server process. One that an earlier process named has ended.
 func (t *Table) Find(server shardmap.Server) Limit {
 	t.mu.Lock()
@@ -151,13 +143,6 @@
 	return e.Limit
 }
 
-// HasActive reports whether any server has a limit.
-func (t *Table) HasActive() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.active > 0
-}
-
 // TakeChanges returns the limits that this instance has observed and not yet returned, for
 // the other instances.
 func (t *Table) TakeChanges() []Limit {
@@ -208,10 +193,6 @@
 func (t *Table) RemoveUnlisted(isListed func(id string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, e := range t.limits {
-		if !isListed(id) {
-			t.count(e.Limit, -1)
-			delete(t.limits, id)
-		}
-	}
+	maps.DeleteFunc(t.limits, func(id string, _ *entry) bool { return !isListed(id) })
+	maps.DeleteFunc(t.changed, func(id string, _ bool) bool { return !isListed(id) })
 }
--- a/internal/traffic/serverlimit/table_test.go
+++ b/internal/traffic/serverlimit/table_test.go
@@ -77,11 +77,12 @@
 	table.Observe(next, named(-1), at(50), at(150))
 	table.Observe(process, named(4), at(200), at(300))
 	require.False(t, table.Find(next).IsActive())
-	require.False(t, table.HasActive())
+	require.Zero(t, table.Digest())
 	table.Observe(next, named(3), at(300), at(400))
-	require.True(t, table.HasActive())
+	require.NotZero(t, table.Digest())
 	table.RemoveUnlisted(func(string) bool { return false })
-	require.False(t, table.HasActive())
+	require.Zero(t, table.Digest())
+	require.Empty(t, table.TakeChanges())
 }
 
 // Guards against notices for each response, and against changes that nobody hears of.
