Heed a server's Retry-After on the product's own interface

What callers saw: nothing; found in the search for headers of responses that are dropped unread. A server that sheds a request and names a time got the next one after 50 ms to 1 s, and requests for its keys waited in the queue until their deadline.

Change: package backend reads the header of refusals (at most 5 minutes), the home instance sends the server nothing for so long, and a request that cannot be served before its deadline is refused at once. The stand-in can name a time.

With the time not passed on, TestServerGetsNothingUntilItsRetryAfterEnds and TestScenarios/answers fail.

--- a/pkg/admission/acquire.go
+++ b/pkg/admission/acquire.go
@@ -67,6 +67,9 @@
 	if w.server == "" && !p.hasServer(func(s *server) bool { return s.isOpen && !now.Before(s.backoffUntil) }) {
 		return nil, &RefusalError{ReasonBackoff}
 	}
+	if w.server != "" && p.servers[w.server].backoffUntil.After(w.deadline) {
+		return nil, &RefusalError{ReasonBackoff}
+	}
 	if q.len() >= maxQueuePerServer {
 		return nil, &RefusalError{ReasonQueueFull}
 	}
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -233,6 +233,16 @@
 // EndWithLatency is like End with an explicit latency: the time to the first byte, for
 // responses whose remaining transfer time does not depend on the server's speed.
 func (l *Lease) EndWithLatency(result AttemptResult, latency time.Duration) {
+	l.end(result, latency, 0)
+}
+
+// EndShed records that the server refused the request for lack of capacity and wants no
+// requests for a time, which is zero if it named none.
+func (l *Lease) EndShed(latency, retryAfter time.Duration) {
+	l.end(AttemptShed, latency, retryAfter)
+}
+
+func (l *Lease) end(result AttemptResult, latency, retryAfter time.Duration) {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	s := l.pool.servers[l.server]
@@ -241,7 +251,7 @@
 	}
 	s.end(l.background, result, latency)
 	if result == AttemptShed {
-		l.pool.backOff(s)
+		l.pool.backOff(s, retryAfter)
 	}
 	if s.consecutiveFailures >= ejectAfterFailures && l.pool.canEject() {
 		s.ejectedUntil = l.pool.now().Add(ejectDuration)
@@ -250,11 +260,13 @@
 	l.pool.dispatchWaiters()
 }
 
-// backOff sends a server that shed a request nothing for the backoff time, and
-// dispatches its waiters afterwards.
-func (p *Pool) backOff(s *server) {
-	backoff := s.shedBackoff()
-	s.backoffUntil = p.now().Add(backoff)
+// backOff sends a server that shed a request nothing for the backoff time, or the longer one
+// that it named, and dispatches its waiters afterwards.
+func (p *Pool) backOff(s *server, retryAfter time.Duration) {
+	backoff := max(s.shedBackoff(), retryAfter)
+	if until := p.now().Add(backoff); until.After(s.backoffUntil) {
+		s.backoffUntil = until
+	}
 	time.AfterFunc(backoff, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/pkg/admission/pool_test.go
+++ b/pkg/admission/pool_test.go
@@ -289,3 +289,29 @@
 	_, err = pool.Acquire(t.Context(), within(time.Minute))
 	require.NoError(t, err)
 }
+
+// Guards against requests to a server that turned one away for some time, and against requests
+// that wait for it although they cannot be served before their deadline.
+func TestServerGetsNothingUntilItsRetryAfterEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := openPool("a", "b")
+		lease, err := pool.Acquire(t.Context(), admission.Request{Server: "a", Deadline: time.Now().Add(time.Minute)})
+		require.NoError(t, err)
+		lease.EndShed(time.Millisecond, 3*time.Second)
+		for range 20 {
+			other, err := pool.Acquire(t.Context(), within(time.Second))
+			require.NoError(t, err)
+			require.Equal(t, "b", other.Server())
+			other.End(admission.AttemptSucceeded)
+			time.Sleep(50 * time.Millisecond)
+		}
+		began := time.Now()
+		_, err = pool.Acquire(t.Context(), admission.Request{Server: "a", Deadline: began.Add(time.Second)})
+		require.Equal(t, admission.ReasonBackoff, reasonOf(t, err))
+		require.Zero(t, time.Since(began))
+		lease, err = pool.Acquire(t.Context(), admission.Request{Server: "a", Deadline: began.Add(time.Minute)})
+		require.NoError(t, err)
+		require.Equal(t, 2*time.Second, time.Since(began))
+		lease.End(admission.AttemptSucceeded)
+	})
+}
--- a/pkg/backend/attempt.go
+++ b/pkg/backend/attempt.go
@@ -4,10 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,8 +26,15 @@
 	Reason string
 	// Cause is the underlying error, or nil.
 	Cause error
+	// RetryAfter is how long the backend server wants no requests, or zero. It is at most
+	// MaxRetryAfter.
+	RetryAfter time.Duration
 }
 
+// MaxRetryAfter bounds the time for which a server may keep requests away, since without
+// requests it could not end a longer one itself.
+const MaxRetryAfter = 5 * time.Minute
+
 // Error returns the outcome and the reason.
 func (e *AttemptError) Error() string {
 	return fmt.Sprintf("%s: %s", e.Outcome, e.Reason)
@@ -74,7 +84,7 @@
 	})
 	outgoing, err := c.newHTTPRequest(ctx, request)
 	if err != nil {
-		return nil, &AttemptError{redwingstall.OutcomeNotRun, "badRequest", err}
+		return nil, &AttemptError{Outcome: redwingstall.OutcomeNotRun, Reason: "badRequest", Cause: err}
 	}
 	transport := c.keepAliveTransport
 	if request.AtMostOnce {
@@ -136,13 +146,13 @@
 func classifyError(ctx context.Context, gotConnection bool, err error) *AttemptError {
 	switch {
 	case !gotConnection && ctx.Err() != nil:
-		return &AttemptError{redwingstall.OutcomeNotRun, ReasonTimeout, err}
+		return &AttemptError{Outcome: redwingstall.OutcomeNotRun, Reason: ReasonTimeout, Cause: err}
 	case !gotConnection:
-		return &AttemptError{redwingstall.OutcomeNotRun, ReasonConnectFailed, err}
+		return &AttemptError{Outcome: redwingstall.OutcomeNotRun, Reason: ReasonConnectFailed, Cause: err}
 	case ctx.Err() != nil:
-		return &AttemptError{redwingstall.OutcomeUnknown, ReasonTimeout, err}
+		return &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonTimeout, Cause: err}
 	}
-	return &AttemptError{redwingstall.OutcomeUnknown, ReasonNoResponse, err}
+	return &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonNoResponse, Cause: err}
 }
 
 // checkResponse returns an error for three kinds of response: a response to another
@@ -151,21 +161,30 @@
 func checkResponse(response *http.Response, request Request) (*http.Response, error) {
 	if response.Header.Get(redwingstall.HeaderRequestID) != request.ID {
 		_ = response.Body.Close()
-		return nil, &AttemptError{redwingstall.OutcomeUnknown, ReasonRequestIDMismatch, nil}
+		return nil, &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonRequestIDMismatch}
 	}
 	refusal := redwingstall.Refusal(response.Header.Get(redwingstall.HeaderRefusal))
 	if response.StatusCode >= http.StatusBadRequest && refusal.IsKnown() {
 		drainAndClose(response)
-		return nil, &AttemptError{redwingstall.OutcomeNotRun, string(refusal), nil}
+		return nil, &AttemptError{Outcome: redwingstall.OutcomeNotRun, Reason: string(refusal), RetryAfter: parseRetryAfter(response.Header.Get("Retry-After"))}
 	}
 	isChunked := len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
 	if response.ContentLength < 0 && !isChunked {
 		_ = response.Body.Close()
-		return nil, &AttemptError{redwingstall.OutcomeUnknown, ReasonCloseDelimited, nil}
+		return nil, &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonCloseDelimited}
 	}
 	return response, nil
 }
 
+// parseRetryAfter parses a number of seconds. One that cannot be read, or is negative, is zero.
+func parseRetryAfter(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(seconds) {
+		return 0
+	}
+	return time.Duration(min(max(seconds, 0), MaxRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // maxDrainBytes bounds how much of a refusal's body is read.
 const maxDrainBytes = 4 << 10
 
--- a/pkg/backend/attempt_test.go
+++ b/pkg/backend/attempt_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -257,3 +258,19 @@
 		}
 	}
 }
+
+// Guards against a server's Retry-After that is not read.
+func TestRefusalCarriesTheServersRetryAfter(t *testing.T) {
+	for text, delay := range map[string]time.Duration{"": 0, "1.5": 1500 * time.Millisecond, "-1": 0, "soon": 0, "NaN": 0, "1e300": backend.MaxRetryAfter} {
+		server := newRawServer(t, func(c net.Conn, _ func()) {
+			readRequest(c)
+			_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nRequest-Id: r1\r\nRedwing-Refusal: shed\r\nRetry-After: "+text+"\r\nContent-Length: 0\r\n\r\n")
+		})
+		client := backend.NewClient(server.listener.Addr().String(), 10)
+		_, err := client.Do(t.Context(), chargeRequest("r1"))
+		attempt := &backend.AttemptError{}
+		require.True(t, errors.As(err, &attempt))
+		require.Equal(t, delay, attempt.RetryAfter, text)
+		client.Close()
+	}
+}
--- a/pkg/home/attempt.go
+++ b/pkg/home/attempt.go
@@ -177,7 +177,7 @@
 	p.manager.common.Count("attempts." + string(attemptErr.Outcome) + "." + attemptErr.Reason)
 	switch redwingstall.Refusal(attemptErr.Reason) {
 	case redwingstall.RefusalShed:
-		lease.EndWithLatency(admission.AttemptShed, elapsed)
+		lease.EndShed(elapsed, attemptErr.RetryAfter)
 		return
 	case redwingstall.RefusalDraining:
 		s.markDraining()
--- a/pkg/standin/backend.go
+++ b/pkg/standin/backend.go
@@ -41,6 +41,8 @@
 	Freeze bool `json:"freeze"`
 	Drain  bool `json:"drain"`
 	Shed   bool `json:"shed"`
+	// RetryAfterMillis is how long refusals ask to be left alone. Zero leaves it out.
+	RetryAfterMillis int64 `json:"retryAfterMillis"`
 	// Restart simulates a restart of the process: a new boot id, a cold start, no grants.
 	Restart bool `json:"restart"`
 	// WrongID responds with the id of another request.
@@ -255,6 +257,9 @@
 	w.Header().Set(redwingstall.HeaderServer, b.config.Name)
 	if refusal != "" {
 		w.Header().Set(redwingstall.HeaderRefusal, string(refusal))
+		if faults.RetryAfterMillis > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(float64(faults.RetryAfterMillis)/1000, 'f', 3, 64))
+		}
 		http.Error(w, string(refusal), http.StatusServiceUnavailable)
 		return
 	}
