Read the limit in responses of a server that does not hold the key

Cause: responses with 421 were taken for those of another server at the address, and not read at all. Change: a 421 that names a limit counts for the server that was asked; one without does not end a limit. If another server has the address, the one that was asked is gone, and it does no harm.

TestLimitIsReadFromResponsesOfAServerWithoutTheKey failed before (no limit known).

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,7 +32,8 @@
 var (
 	regressionSeeds        = []uint64{}
 	restoreRegressionSeeds = []uint64{
-		3, // keys granted by the owner map of an older copy, with a lower fence
+		3,    // keys granted by the owner map of an older copy, with a lower fence
+		3117, // a limit in responses of a server that holds no keys was not read
 	}
 )
 
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -65,7 +65,7 @@
 	})
 	a.answer, a.result = answer, result
 	d.countAttempt(j, a)
-	if err == nil && !result.isMisdirected {
+	if err == nil {
 		d.observeResponse(j, a)
 	}
 	if result.outcome == placement.Abandoned {
--- a/internal/traffic/dispatch/observe.go
+++ b/internal/traffic/dispatch/observe.go
@@ -5,9 +5,13 @@
 	"time"
 )
 
-// observeResponse records what a server says about itself in its response.
+// observeResponse records what a server says about itself in its response. A misdirected one
+// may come from another server that took over the address: it does not end a limit. What it
+// says otherwise does no harm then, since the server that was asked is gone.
 func (d *Dispatcher) observeResponse(j *job, a *attempt) {
-	d.observeLimit(j, a)
+	if !a.result.isMisdirected || a.answer.Meta.Limit.IsNamed {
+		d.observeLimit(j, a)
+	}
 	d.observeLeaving(j, a)
 	d.observeBackoff(j, a)
 	d.observeWarmup(j, a)
--- a/internal/traffic/dispatch/server_limit_test.go
+++ b/internal/traffic/dispatch/server_limit_test.go
@@ -201,3 +201,23 @@
 		require.Greater(t, float64(served["/urgent/x"])/100, 2*float64(served["/keyed/x"])/300)
 	})
 }
+
+// Guards against a limit that is not kept since the server does not hold the key of any request
+// that it gets, and against such responses that end a limit.
+func TestLimitIsReadFromResponsesOfAServerWithoutTheKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newFixture(func(n int, _ string, _ backends.Request) (backends.Response, error) {
+			if n > 2 {
+				return misdirected, nil // it may be another server's response
+			}
+			return answerOf(421, "Not-Executed", "1", "Server-Limit", "2"), nil
+		})
+		began := time.Now()
+		for range 200 {
+			w.get(t.Context(), "/keyed/x", "Shard-Key", "5")
+			time.Sleep(20 * time.Millisecond)
+		}
+		require.InDelta(t, 2, w.dispatcher.ServerLimiter.Table.Find(w.view.Snapshot().ByID["k1"].Process()).Rate, 0)
+		require.LessOrEqual(t, float64(len(w.backends.sent)), 2*time.Since(began).Seconds()+2)
+	})
+}
