--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 func main() {
 	cases := map[string]func(d *deployment, trouble bool) (broken bool, err error){
 		"second-answer": playSecondAnswer,
+		"endless-head":  playEndlessHead,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-standin CASE RECORD")
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,8 @@
 	mu        sync.Mutex
 	upstreams []*upstream
 	broken    []string
+	// begun holds the upstream that began each request.
+	begun map[string]string
 }
 
 type hold struct {
@@ -43,6 +46,9 @@
 	// repeatsReleases makes it send each answer to a release once more, late: at the point
 	// where the next response on the connection is expected.
 	repeatsReleases bool
+	// isEndless makes it answer everything with a head without end, at the pace of its link.
+	isEndless atomic.Bool
+	link      link
 
 	// guarded by the world's mutex
 	holds   []hold
@@ -101,6 +107,10 @@
 		if err != nil {
 			return
 		}
+		if u.isEndless.Load() {
+			u.sendEndless(c, request.URL.Path)
+			return
+		}
 		if late != "" {
 			u.w.mu.Lock()
 			u.repeated++
@@ -271,6 +281,10 @@
 		return response(http.StatusMisdirectedRequest, echo+"Not-Executed: 1\r\n", "")
 	}
 	u.working[key]++
+	if w.begun == nil {
+		w.begun = map[string]string{}
+	}
+	w.begun[id] = u.id
 	w.d.record("%s begins %s, key %d", u.id, id, key)
 	w.mu.Unlock()
 	time.Sleep(u.work(key))
