--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0: without the disruption. Writes record.txt beside it.
+folder="$(cd "$(dirname "$0")" && pwd)"
+cd "$folder/../.." || exit 2
+exec timeout -k 5 118 target/review-standin spoiled-release "$folder/record.txt"
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,8 +20,9 @@
 
 func main() {
 	cases := map[string]func(d *deployment, trouble bool) (broken bool, err error){
-		"second-answer": playSecondAnswer,
-		"endless-head":  playEndlessHead,
+		"second-answer":   playSecondAnswer,
+		"spoiled-release": playSpoiledRelease,
+		"endless-head":    playEndlessHead,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-standin CASE RECORD")
--- a/review/standin/second_answer.go
+++ b/review/standin/second_answer.go
@@ -15,6 +15,12 @@
 // playSecondAnswer shows what the leader makes of an answer to a release that an upstream
 // sends once more.
 func playSecondAnswer(d *deployment, trouble bool) (bool, error) {
+	return d.playMoves(func(u *upstream) { u.repeatsReleases = trouble })
+}
+
+// playMoves plays a service whose busy keys change, so that the leader moves keys. Half of the
+// upstreams are in trouble.
+func (d *deployment) playMoves(disturb func(u *upstream)) (bool, error) {
 	const (
 		length     = 85 * time.Second
 		perSecond  = 30
@@ -36,7 +42,9 @@
 		if err != nil {
 			return false, err
 		}
-		u.repeatsReleases = trouble && i < 2 // half of the upstreams; the site's garble has 0.6
+		if i < 2 { // half of the upstreams; the site's garble has 0.6
+			disturb(u)
+		}
 	}
 	for _, zone := range []string{"zaandam", "wormerveer"} {
 		if err := d.addGateway(zone); err != nil {
@@ -71,7 +79,7 @@
 	defer w.mu.Unlock()
 	answers := 0
 	for _, u := range w.upstreams {
-		d.record("%s: %d answers, %d sent once more", u.id, u.answers, u.repeated)
+		d.record("%s: %d answers, %d spoiled or sent once more", u.id, u.answers, u.repeated)
 		answers += u.answers
 	}
 	d.record("%d times broken", len(w.broken))
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -46,6 +46,8 @@
 	// repeatsReleases makes it send each answer to a release once more, late: at the point
 	// where the next response on the connection is expected.
 	repeatsReleases bool
+	// spoilsReleases makes it answer each release at once with a body without end.
+	spoilsReleases bool
 	// isEndless makes it answer everything with a head without end, at the pace of its link.
 	isEndless atomic.Bool
 	link      link
@@ -111,6 +113,11 @@
 			u.sendEndless(c, request.URL.Path)
 			return
 		}
+		if u.spoilsReleases && request.URL.Path == "/-/release" {
+			go u.release(body)
+			u.spoil(c, string(body))
+			return
+		}
 		if late != "" {
 			u.w.mu.Lock()
 			u.repeated++
