--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # deploy/system.toml.
 set -eu
 cd "$(dirname "$0")/.."
-go build -tags review -ldflags=-linkmode=external -o target/review-standin ./review/standin
+go build -tags review -ldflags=-linkmode=external -o target/review-standin ./review
--- a/review/standin/endless_head.go
+++ b/review/endless_head.go
@@ -94,18 +94,20 @@
 	all.Wait()
 }
 
-// residentMB returns the resident memory of a process in units of 2^20 bytes.
+// residentMB returns the resident memory of a process in units of 2^20 bytes, without the pages
+// of files, such as its program.
 func residentMB(pid int) int {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		return 0
 	}
 	fields := bytes.Fields(text)
-	if len(fields) < 2 {
+	if len(fields) < 3 {
 		return 0
 	}
-	pages, _ := strconv.Atoi(string(fields[1]))
-	return pages * os.Getpagesize() >> 20
+	resident, _ := strconv.Atoi(string(fields[1]))
+	ofFiles, _ := strconv.Atoi(string(fields[2]))
+	return (resident - ofFiles) * os.Getpagesize() >> 20
 }
 
 // cut is a request on a kept connection that ended without an answer.
