Keep the keys of an owner until it has released them or its grants have expired

Cause: the leader took a refused connection together with a missing entry for the end of an owner, and so it did with another server's answer at its address. A partition gives the first two as well, a server in trouble or an entry with a wrong address the third. Recovery decided in the same way.

Change: only an answered release or the expiry of all grants ends an ownership. Keys of crashed servers wait longer for that: grants last 5 s in place of 7 s, and 7 s only while the store does not renew the leader's lease, so that an outage of 8 s is bridged as before. Grants without a connection cannot have arrived and do not lengthen the wait.

TestReplacedOwnerLosesItsKeysImmediately and half of a recovery test required the fault; tests that require the wait replace them.

--- a/errors.go
+++ b/errors.go
@@ -20,9 +20,10 @@
 	ErrLeaseEnded = errors.New("redwingstall: lease ended")
 	// ErrFenced means that the receiver has already seen a higher fencing token.
 	ErrFenced = errors.New("redwingstall: fencing token too low")
-	// ErrConnectionRefused means that the connection was refused: no process listens at the
-	// address.
-	ErrConnectionRefused = errors.New("redwingstall: connection refused")
-	// ErrAddressReassigned means that another server answers at the address.
+	// ErrNotSent means that no connection to the receiver was established. The operation
+	// has no effect, now or later.
+	ErrNotSent = errors.New("redwingstall: not sent")
+	// ErrAddressReassigned means that another server answers at the address. It does not
+	// show that the expected one has ended.
 	ErrAddressReassigned = errors.New("redwingstall: another server has the address")
 )
--- a/gateway.go
+++ b/gateway.go
@@ -200,9 +200,8 @@
 
 // KeyOwner grants keys to backend servers and releases them. Errors are marked:
 // [ErrUnavailable] means that the server did not answer, and may still apply the
-// command seconds later. [ErrFenced] means that the server has seen a higher
-// fencing token. [ErrConnectionRefused] means that no process listens at the address.
-// [ErrAddressReassigned] means that another server has taken over the address; it
+// command seconds later, unless [ErrNotSent] is added. [ErrFenced] means that the server has seen a higher
+// fencing token. [ErrAddressReassigned] means that another server answers at the address; it
 // ignores the command. The meta is what the server's response says, if there is one, also
 // beside an error.
 type KeyOwner interface {
--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -15,6 +15,9 @@
 type Timing struct {
 	// GrantTTL is the time to live of a grant, counted from its arrival at the server.
 	GrantTTL time.Duration
+	// OutageGrantTTL is that of grants which are sent while the leader's lease cannot be
+	// renewed. They last until the store is back and has a leader. Zero means GrantTTL.
+	OutageGrantTTL time.Duration
 	// LeaderLeaseTTL is the time to live of the leader's lease. A previous leader may
 	// send grants for that long.
 	LeaderLeaseTTL time.Duration
@@ -63,6 +66,8 @@
 	Servers map[string]Server
 	// KeyRates are indexed by key, in requests per second.
 	KeyRates []float32
+	// IsStoreUnavailable is set while the leader's lease cannot be renewed.
+	IsStoreUnavailable bool
 }
 
 // CommandKind is the kind of a command.
@@ -96,14 +101,15 @@
 // commandProgress tracks one command, that is the grant or release of one range under
 // one fencing token.
 type commandProgress struct {
-	isInFlight          bool
-	isAnswered          bool
-	isConnectionRefused bool
-	isReplaced          bool
-	sentAt              time.Duration
-	endedAt             time.Duration
-	unanswered          int
-	handover            string
+	owner      string
+	isInFlight bool
+	isAnswered bool
+	sentAt     time.Duration
+	// grantTTL is that of the grant sent last. It is zero for releases.
+	grantTTL   time.Duration
+	endedAt    time.Duration
+	unanswered int
+	handover   string
 }
 
 // Result is the result of one attempt to send a command.
@@ -112,13 +118,11 @@
 	Handover string
 	// IsFenced is set if the server has seen a higher fencing token.
 	IsFenced bool
-	// IsConnectionRefused is set if nothing listens at the address.
-	IsConnectionRefused bool
-	// IsReplaced is set if another server answers at the address.
-	IsReplaced bool
-	// IsUnanswered is set if there was no valid answer. The command may still be applied
-	// later.
+	// IsUnanswered is set if there was no valid answer, or another server gave it. The
+	// command may still be applied later, unless IsUnsent is set too.
 	IsUnanswered bool
+	// IsUnsent is set if no connection was established, so that the command has no effect.
+	IsUnsent bool
 }
 
 // Assigner decides the owners of one service while its instance leads. It is not safe
@@ -128,7 +132,7 @@
 	stored   shardmap.Map
 	commands map[commandKey]*commandProgress
 	// grantsExpireAt is, for each server, when all grants sent to it are certain to have
-	// expired.
+	// expired, but for those in flight.
 	grantsExpireAt map[string]time.Duration
 	// fencedOff holds the grants that a server rejected because it has seen a higher
 	// fencing token. Their ranges need a new token.
@@ -165,15 +169,25 @@
 	}
 	a.predecessorDoneAt = now + wait
 	for _, r := range stored.Ranges {
-		a.grantsExpireAt[r.Owner.ID] = a.predecessorDoneAt + a.timing.maxGrantLifetime()
+		a.grantsExpireAt[r.Owner.ID] = a.predecessorDoneAt + a.timing.maxGrantLifetime(a.timing.longestGrantTTL())
 	}
 	return a
 }
 
 // maxGrantLifetime is the maximum time between sending a grant and its expiry.
-func (t Timing) maxGrantLifetime() time.Duration {
-	drift := time.Duration(float64(t.GrantTTL) * maxClockDrift)
-	return t.GrantTimeout + t.GrantTTL + drift + grantExpiryMargin
+func (t Timing) maxGrantLifetime(ttl time.Duration) time.Duration {
+	drift := time.Duration(float64(ttl) * maxClockDrift)
+	return t.GrantTimeout + ttl + drift + grantExpiryMargin
+}
+
+func (t Timing) longestGrantTTL() time.Duration { return max(t.GrantTTL, t.OutageGrantTTL) }
+
+// grantTTL returns the time to live of the grants that are sent now.
+func (t Timing) grantTTL(cluster ClusterState) time.Duration {
+	if cluster.IsStoreUnavailable {
+		return t.longestGrantTTL()
+	}
+	return t.GrantTTL
 }
 
 // Map returns the map as stored.
@@ -200,7 +214,7 @@
 }
 
 func (a *Assigner) command(r shardmap.Range, address string) Command {
-	c := Command{Kind: CommandGrant, Address: address, Owner: r.Owner, Keys: r.KeyRange, Fence: r.Fence, GrantTTL: a.timing.GrantTTL, Handover: r.Handover}
+	c := Command{Kind: CommandGrant, Address: address, Owner: r.Owner, Keys: r.KeyRange, Fence: r.Fence, Handover: r.Handover}
 	if r.State != shardmap.StateAssigned {
 		c.Kind = CommandRelease
 	}
@@ -232,8 +246,10 @@
 		}
 		p.isInFlight = true
 		p.sentAt = now
+		p.owner = r.Owner.ID
 		if c.Kind == CommandGrant {
-			a.grantsExpireAt[r.Owner.ID] = max(a.grantsExpireAt[r.Owner.ID], now+a.timing.maxGrantLifetime())
+			c.GrantTTL = a.timing.grantTTL(cluster)
+			p.grantTTL = c.GrantTTL
 		}
 		due = append(due, c)
 	}
@@ -251,12 +267,16 @@
 	if p.unanswered > 0 {
 		return now-p.endedAt >= grantRetryDelay
 	}
-	return !p.isAnswered || now-p.sentAt >= a.timing.GrantTTL/renewalsPerTTL
+	return !p.isAnswered || p.grantTTL < a.timing.grantTTL(cluster) || now-p.sentAt >= p.grantTTL/renewalsPerTTL
 }
 
 // RecordResult records the result of a command in flight.
 func (a *Assigner) RecordResult(now time.Duration, c Command, result Result) {
-	a.progressOf(c.key()).record(now, result)
+	p := a.progressOf(c.key())
+	p.record(now, result)
+	if c.Kind == CommandGrant && !result.IsUnsent {
+		a.grantsExpireAt[c.Owner.ID] = max(a.grantsExpireAt[c.Owner.ID], p.sentAt+a.timing.maxGrantLifetime(p.grantTTL))
+	}
 	if result.IsFenced {
 		a.fencedOff[c.key()] = true
 	}
@@ -269,8 +289,6 @@
 	case result.IsFenced:
 	case result.IsUnanswered:
 		p.unanswered++
-		p.isConnectionRefused = result.IsConnectionRefused
-		p.isReplaced = result.IsReplaced
 	default:
 		p.unanswered = 0
 		p.isAnswered = true
@@ -408,7 +426,7 @@
 	for i := range draft.Ranges {
 		r := &draft.Ranges[i]
 		if r.State == shardmap.StateReleasing {
-			handover, isReleased := a.releaseOutcome(now, *r, cluster)
+			handover, isReleased := a.releaseOutcome(now, *r)
 			if !isReleased {
 				continue
 			}
@@ -447,17 +465,26 @@
 }
 
 // releaseOutcome reports whether the owner of a range that is being released certainly
-// does not hold it, and the handover. That is so if the owner has confirmed the release;
-// if its address refuses connections and its entry is not listed; if another server
-// answers at its address; or if every grant that it may have accepted has expired.
-func (a *Assigner) releaseOutcome(now time.Duration, r shardmap.Range, cluster ClusterState) (handover string, isReleased bool) {
+// does not hold it, and the handover. That is so if the owner, or its next process under the
+// same ID, has confirmed the release, or if every grant that it may have accepted has
+// expired. Nothing else proves that an owner has ended: while a partition separates it from
+// this instance and the store, its connections may be refused and its entry expires, but
+// others still send it requests.
+func (a *Assigner) releaseOutcome(now time.Duration, r shardmap.Range) (handover string, isReleased bool) {
 	p := a.commands[a.command(r, "").key()]
 	if p != nil && p.isAnswered {
 		return p.handover, true
 	}
-	_, isListed := cluster.Servers[r.Owner.ID]
-	if p != nil && (p.isConnectionRefused && !isListed || p.isReplaced) {
-		return "", true
+	return "", now >= a.lastGrantExpiry(r.Owner.ID)
+}
+
+// lastGrantExpiry returns when all grants of a server are certain to have expired.
+func (a *Assigner) lastGrantExpiry(server string) time.Duration {
+	last := a.grantsExpireAt[server]
+	for key, p := range a.commands {
+		if key.kind == CommandGrant && p.isInFlight && p.owner == server {
+			last = max(last, p.sentAt+a.timing.maxGrantLifetime(p.grantTTL))
+		}
 	}
-	return "", now >= a.grantsExpireAt[r.Owner.ID]
+	return last
 }
--- a/internal/ownership/assign/rebalance_test.go
+++ b/internal/ownership/assign/rebalance_test.go
@@ -167,22 +167,65 @@
 	require.InDelta(t, 3+simulationTiming.GrantTTL.Seconds(), reassignedAt.Seconds(), 2)
 }
 
-// Another server answers at the owner's address. That proves that the owner has ended,
-// so its keys must be reassigned without waiting for its grants to expire.
-func TestReplacedOwnerLosesItsKeysImmediately(t *testing.T) {
+// Guards against review/1. The owner's entry is gone, and commands to it fail at once: a
+// partition refuses the connections, or another server seems to answer at the address. The
+// owner may still serve others, so its keys must stay with it until its grants have expired.
+func TestOwnerThatCannotBeReachedKeepsItsKeysUntilItsGrantsExpire(t *testing.T) {
 	cluster := newClusterState(4, nil)
 	a := NewAssigner(0, simulationTiming, shardmap.Map{})
 	runFor(a, 0, 3*time.Second, cluster)
 	lost := a.Map().Ranges[0].Owner
 	delete(cluster.Servers, lost.ID)
 	addresses := map[string]string{lost.ID: lost.ID}
-	for now := 3 * time.Second; now < 3200*time.Millisecond; now += 50 * time.Millisecond {
-		runStep(a, now, cluster, addresses, Result{IsUnanswered: true, IsReplaced: true})
+	heldUntil := a.lastGrantExpiry(lost.ID)
+	require.GreaterOrEqual(t, heldUntil, 3*time.Second+simulationTiming.GrantTTL*(renewalsPerTTL-1)/renewalsPerTTL)
+	for now := 3 * time.Second; now < heldUntil; now += 50 * time.Millisecond {
+		runStep(a, now, cluster, addresses, Result{IsUnanswered: true, IsUnsent: true})
+		for _, r := range a.Map().Ranges {
+			require.False(t, r.From == 0 && r.Owner != lost, "at %v", now)
+		}
+	}
+	runStep(a, heldUntil, cluster, addresses, Result{IsUnanswered: true, IsUnsent: true})
+	r, _ := a.Map().Find(0)
+	require.NotEqual(t, lost, r.Owner)
+}
+
+// A server crashes while it is listed. Grants that found no connection cannot have arrived,
+// so they must not keep its keys for another time to live.
+func TestUnsentGrantsDoNotDelayReassignment(t *testing.T) {
+	cluster := newClusterState(4, nil)
+	a := NewAssigner(0, simulationTiming, shardmap.Map{})
+	runFor(a, 0, 3*time.Second, cluster)
+	lost := a.Map().Ranges[0].Owner
+	heldUntil := a.lastGrantExpiry(lost.ID)
+	addresses := map[string]string{lost.ID: lost.ID}
+	for now := 3 * time.Second; now < heldUntil+100*time.Millisecond; now += 50 * time.Millisecond {
+		if now >= 5*time.Second {
+			delete(cluster.Servers, lost.ID)
+		}
+		runStep(a, now, cluster, addresses, Result{IsUnanswered: true, IsUnsent: true})
+		require.Equal(t, heldUntil, a.lastGrantExpiry(lost.ID))
 	}
 	r, _ := a.Map().Find(0)
 	require.NotEqual(t, lost, r.Owner)
 }
 
+// An owner that has restarted under its ID, and confirms the release, holds nothing. Its keys
+// must be assigned without a wait.
+func TestRestartedOwnerThatConfirmsItsReleaseLosesItsKeysImmediately(t *testing.T) {
+	cluster := newClusterState(4, nil)
+	a := NewAssigner(0, simulationTiming, shardmap.Map{})
+	runFor(a, 0, 3*time.Second, cluster)
+	lost := a.Map().Ranges[0].Owner
+	restarted := cluster.Servers[lost.ID]
+	restarted.StartedAtMillis++
+	cluster.Servers[lost.ID] = restarted
+	runFor(a, 3*time.Second, 3300*time.Millisecond, cluster)
+	for _, r := range a.Map().Ranges {
+		require.NotEqual(t, lost, r.Owner)
+	}
+}
+
 // One key has more requests than any server can handle, and a group of other keys is hot
 // too. The server of the one key is always the most utilized. That must not keep the
 // other servers from being rebalanced. Found on a deployment.
--- a/internal/ownership/assign/recovery.go
+++ b/internal/ownership/assign/recovery.go
@@ -32,11 +32,10 @@
 
 // possibleHolder is a server that may hold keys, and the progress of its release.
 type possibleHolder struct {
-	server   shardmap.Server
-	address  string
-	fence    int64
-	isListed bool
-	release  commandProgress
+	server  shardmap.Server
+	address string
+	fence   int64
+	release commandProgress
 }
 
 // NewRecovery starts a recovery. The earlier leaders were confirmed for the last time
@@ -45,7 +44,7 @@
 func NewRecovery(eraBeganAt time.Duration, timing Timing, last shardmap.Map, knowsHolders bool) *Recovery {
 	releaseFrom := eraBeganAt + timing.LeaderLeaseTTL + timing.GrantTimeout
 	return &Recovery{
-		timing: timing, last: last.Clone(), releaseFrom: releaseFrom, expiredAt: releaseFrom + timing.maxGrantLifetime(),
+		timing: timing, last: last.Clone(), releaseFrom: releaseFrom, expiredAt: releaseFrom + timing.maxGrantLifetime(timing.longestGrantTTL()),
 		knowsHolders: knowsHolders, holders: map[string]*possibleHolder{},
 	}
 }
@@ -53,7 +52,7 @@
 // HolderMemory is how long a server may hold keys after an earlier leader last had it
 // listed. An instance that has known all servers for that long knows all holders.
 func (t Timing) HolderMemory() time.Duration {
-	return t.LeaderLeaseTTL + t.GrantTimeout + t.maxGrantLifetime()
+	return t.LeaderLeaseTTL + t.GrantTimeout + t.maxGrantLifetime(t.longestGrantTTL())
 }
 
 // DueCommands returns the releases to be sent at once, and marks them as in flight. The
@@ -86,14 +85,9 @@
 		h := r.addHolder(shardmap.Server{ID: id})
 		h.setProcess(h.server, addresses[id])
 	}
-	for _, h := range r.holders {
-		h.isListed = false
-	}
 	for _, id := range slices.Sorted(maps.Keys(cluster.Servers)) {
 		s := cluster.Servers[id]
-		h := r.addHolder(s.Server)
-		h.setProcess(s.Server, s.Address)
-		h.isListed = true
+		r.addHolder(s.Server).setProcess(s.Server, s.Address)
 	}
 }
 
@@ -115,12 +109,8 @@
 	h.server, h.address = server, address
 }
 
-// isReleased reports whether the server certainly holds no keys: it has confirmed that,
-// no process listens at its address and its entry is not listed, or another server
-// answers there.
-func (h *possibleHolder) isReleased() bool {
-	return h.release.isAnswered || h.release.isReplaced || h.release.isConnectionRefused && !h.isListed
-}
+// isReleased reports whether the server has confirmed that it holds no keys.
+func (h *possibleHolder) isReleased() bool { return h.release.isAnswered }
 
 // RecordResult records the result of a command in flight.
 func (r *Recovery) RecordResult(now time.Duration, c Command, result Result) {
--- a/internal/ownership/assign/recovery_test.go
+++ b/internal/ownership/assign/recovery_test.go
@@ -89,15 +89,18 @@
 	require.True(t, b.recovery.IsDone(now))
 }
 
-// Guards against keys of a server that only a partition hides.
-func TestRecoveryTrustsARefusedConnectionOnlyOfUnlistedServers(t *testing.T) {
+// Guards against keys of a server that only a partition hides: its entry is gone and its
+// release fails at once, but it may serve others until its grants expire.
+func TestRecoveryTrustsOnlyConfirmedReleases(t *testing.T) {
 	b := newRecoveryBed(t, true)
 	now := eraBeganAt + simulationTiming.LeaderLeaseTTL + simulationTiming.GrantTimeout
-	b.releases(now, map[string]Result{"a": {}, "b": {IsUnanswered: true, IsReplaced: true}, "c": {IsUnanswered: true, IsConnectionRefused: true}})
+	b.releases(now, map[string]Result{"a": {}, "b": {}, "c": {IsUnanswered: true}})
 	require.Equal(t, []string{"c"}, b.recovery.Unreleased())
 	delete(b.cluster.Servers, "c")
-	b.releases(now, nil)
-	require.Empty(t, b.recovery.Unreleased())
+	b.releases(now+releaseRetryDelay, nil)
+	require.Equal(t, []string{"c"}, b.recovery.Unreleased())
+	now = eraBeganAt + simulationTiming.HolderMemory()
+	require.False(t, b.recovery.IsDone(now-time.Millisecond))
 	require.True(t, b.recovery.IsDone(now))
 }
 
@@ -109,8 +112,9 @@
 	seen := map[string]int64{}
 	for _, c := range b.recovery.DueCommands(now, b.cluster, b.addresses) {
 		seen[c.Owner.ID] = c.Fence
-		b.recovery.RecordResult(now, c, Result{IsConnectionRefused: c.Owner.ID == "a", IsUnanswered: c.Owner.ID == "a"})
+		b.recovery.RecordResult(now, c, Result{IsUnanswered: c.Owner.ID == "a"})
 	}
+	now = eraBeganAt + simulationTiming.HolderMemory()
 	require.True(t, b.recovery.IsDone(now))
 	m, _ := b.recovery.Assigner(now).Plan(now, b.cluster)
 	for _, r := range m.Ranges {
@@ -124,7 +128,7 @@
 	b := newRecoveryBed(t, true)
 	now := eraBeganAt + simulationTiming.LeaderLeaseTTL + simulationTiming.GrantTimeout
 	b.cluster.Servers["c"] = Server{Server: shardmap.Server{ID: "c", StartedAtMillis: 1}, Address: "old", IsUsable: true, Capacity: 10}
-	b.releases(now, map[string]Result{"a": {}, "b": {IsUnanswered: true}, "c": {IsUnanswered: true, IsReplaced: true}})
+	b.releases(now, map[string]Result{"a": {}, "b": {IsUnanswered: true}, "c": {}})
 	// The entry in the copy was that of c's former process. The current one is written again.
 	b.cluster.Servers["c"] = Server{Server: shardmap.Server{ID: "c", StartedAtMillis: 2}, Address: "new", IsUsable: true, Capacity: 10}
 	now += releaseRetryDelay
--- a/internal/ownership/assign/simulation_test.go
+++ b/internal/ownership/assign/simulation_test.go
@@ -18,8 +18,10 @@
 // The simulation runs leaders and servers in simulated time, with these faults: leaders
 // lose their lease early and go on until they notice, or restart; commands are lost,
 // answered late or applied seconds later; servers crash, become unreachable, restart under
-// their ID, have slow clocks, or lose only their entry; the store is away and comes back
-// from an older copy. No key may have two holders.
+// their ID, have slow clocks, or lose only their entry; a partition separates servers from the
+// leaders and the store, while they serve on, and their connections time out, are refused or
+// reach another server; the store is away and comes back from an older copy. No key may have
+// two holders.
 
 const (
 	sampleKeys     = 128
@@ -27,7 +29,7 @@
 	simulatedTime  = 60 * time.Second
 )
 
-var simulationTiming = Timing{GrantTTL: 5 * time.Second, LeaderLeaseTTL: 3 * time.Second, GrantTimeout: 700 * time.Millisecond}
+var simulationTiming = Timing{GrantTTL: 5 * time.Second, OutageGrantTTL: 7 * time.Second, LeaderLeaseTTL: 3 * time.Second, GrantTimeout: 700 * time.Millisecond}
 
 // fakeServer is one process of a backend server at a time.
 type fakeServer struct {
@@ -39,12 +41,24 @@
 	listedStart   int64
 	isLeaving     bool
 	crashedAt     time.Duration
+	partition     partitionKind
 	clockDrift    float64
 	grantedUntil  [sampleKeys]time.Duration
 	grantFence    [sampleKeys]int64
 	highestFence  [sampleKeys]int64
 }
 
+// partitionKind is how connections to a running server fail that a partition separates from
+// the leaders and the store.
+type partitionKind int
+
+const (
+	noPartition partitionKind = iota
+	silentPartition
+	refusingPartition
+	misdirectingPartition
+)
+
 // storedMap is the map of an era in the store.
 type storedMap struct {
 	shardmap.Map
@@ -107,14 +121,16 @@
 	continued    int
 	scheduled    []scheduledEvent
 	// These disable one mechanism each, to prove that the simulation detects its loss.
-	ignoresPredecessor bool
-	reusesFence        bool
-	reusesFenceOfEra   bool
-	believesEarlierEra bool
-	continuesUncertain bool
-	violation          string
-	trace              func(format string, args ...any)
-	grantsApplied      int
+	ignoresPredecessor  bool
+	reusesFence         bool
+	reusesFenceOfEra    bool
+	believesEarlierEra  bool
+	continuesUncertain  bool
+	believesRefusals    bool
+	believesOtherServer bool
+	violation           string
+	trace               func(format string, args ...any)
+	grantsApplied       int
 }
 
 func newSimulation(seed uint64) *simulation {
@@ -171,6 +187,8 @@
 		case s.isUp && s.isListed && m.chance(0.01):
 			s.isListed = false // disconnected from the store, but serving
 			m.schedule(time.Duration(1000+m.random.IntN(11000))*time.Millisecond, "listed", func() { s.isListed, s.listedStart = true, s.born })
+		case s.isUp && s.partition == noPartition && m.chance(0.015):
+			m.startPartition(s)
 		case m.chance(0.02):
 			s.isLeaving = !s.isLeaving
 		}
@@ -183,6 +201,24 @@
 	}
 }
 
+// startPartition separates a server from the leaders and the store. Its entry expires after
+// three heartbeats, and is back soon after the partition if the process still runs.
+func (m *simulation) startPartition(s *fakeServer) {
+	born := s.born
+	s.partition = partitionKind(1 + m.random.IntN(3))
+	m.schedule(2600*time.Millisecond, "expired", func() {
+		if s.born == born && s.partition != noPartition {
+			s.isListed = false
+		}
+	})
+	m.schedule(time.Duration(1000+m.random.IntN(9000))*time.Millisecond, "healed", func() {
+		if s.born == born && s.isUp {
+			s.partition = noPartition
+			s.isListed, s.listedStart = true, s.born
+		}
+	})
+}
+
 // copyInterval is the time between two copies of the store, and maxCopies the number kept.
 const (
 	copyInterval = time.Second
@@ -285,7 +321,7 @@
 
 func (*simulation) endTerm(l *fakeLeader, mayContinue bool) {
 	l.isLeading, l.suspended = false, nil
-	if mayContinue && l.recovery == nil {
+	if mayContinue && l.recovery == nil && l.revision != 0 {
 		l.suspended, l.suspendedEra = l.assigner, l.termEra
 	}
 	l.recovery = nil
@@ -364,7 +400,7 @@
 }
 
 func (m *simulation) clusterState() ClusterState {
-	cluster := ClusterState{Servers: map[string]Server{}}
+	cluster := ClusterState{Servers: map[string]Server{}, IsStoreUnavailable: m.isStoreDown}
 	for _, s := range m.servers {
 		if s.isListed {
 			cluster.Servers[s.id] = Server{Server: shardmap.Server{ID: s.id, StartedAtMillis: s.listedStart}, Address: s.id, IsUsable: !s.isLeaving, Capacity: 10}
@@ -385,11 +421,21 @@
 	}
 	unanswered := Result{IsUnanswered: true}
 	timeout := simulationTiming.GrantTimeout
+	refused := Result{IsUnanswered: true, IsUnsent: true}
+	if m.believesRefusals && !s.isListed {
+		refused = Result{}
+	}
+	misdirected := unanswered
+	if m.believesOtherServer {
+		misdirected = Result{}
+	}
 	switch {
-	case !s.isUp && s.isUnreachable:
+	case !s.isUp && s.isUnreachable, s.partition == silentPartition:
 		done(timeout, unanswered)
-	case !s.isUp:
-		done(simulationStep, Result{IsUnanswered: true, IsConnectionRefused: true})
+	case !s.isUp, s.partition == refusingPartition:
+		done(simulationStep, refused)
+	case s.partition == misdirectingPartition:
+		done(simulationStep, misdirected)
 	case m.random.IntN(12) == 0: // applied late; the time to live counts from the arrival
 		born, arrived := s.born, m.now
 		m.schedule(time.Duration(2000+m.random.IntN(10000))*time.Millisecond, "late", func() {
@@ -521,6 +567,18 @@
 	}
 }
 
+// Guards against review/1: a partition refused the connections to owners, which served on
+// for others, and ended their entries. Each kind of evidence that was taken for the end of an
+// owner must be found out.
+func TestSimulationDetectsEvidenceThatAPartitionGivesToo(t *testing.T) {
+	for name, injectBug := range map[string]func(m *simulation){
+		"a refused connection and a missing entry are believed":   func(m *simulation) { m.believesRefusals = true },
+		"the answer of another server at the address is believed": func(m *simulation) { m.believesOtherServer = true },
+	} {
+		require.True(t, findsViolation(injectBug), name)
+	}
+}
+
 func findsViolation(injectBug func(*simulation)) bool {
 	for seed := range uint64(200) {
 		m := newSimulation(seed)
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -57,11 +57,17 @@
 	// releaseTimeout bounds one release call, which waits for the requests that run on
 	// the keys.
 	releaseTimeout = 3 * time.Second
-	// maxGrantTTL caps the time to live of grants. With it, servers keep serving for
-	// about nine seconds without a leader (the leader's lease plus the grant, less one
-	// renewal), and an unresponsive server keeps its keys no longer than one grant
-	// lasts.
-	maxGrantTTL = 7 * time.Second
+	// maxGrantTTL caps the time to live of grants. An unresponsive server keeps its keys
+	// for that long, and nobody serves them. Less one renewal, it leaves time for the lease
+	// of a leader that crashed to expire, and for the next one to renew the grants.
+	maxGrantTTL = 5 * time.Second
+	// maxOutageGrantTTL is the same for grants that are sent while the store does not
+	// renew the leader's lease. With it, servers keep serving for over eight seconds
+	// without the store: the leader's lease plus the grant, less one renewal.
+	maxOutageGrantTTL = 7 * time.Second
+	// renewalGap is the age of the lease's last renewal from which the store counts as
+	// unavailable: two renewals in a row were lost.
+	renewalGap = LeaseTTL / 3
 )
 
 // LoadSource provides the load of keys and the capacity of servers.
@@ -393,7 +399,10 @@
 }
 
 func (l *Leader) grantTiming() assign.Timing {
-	return assign.Timing{GrantTTL: min(l.MaxGrantTTL, maxGrantTTL), LeaderLeaseTTL: LeaseTTL, GrantTimeout: GrantTimeout}
+	return assign.Timing{
+		GrantTTL: min(l.MaxGrantTTL, maxGrantTTL), OutageGrantTTL: min(l.MaxGrantTTL, maxOutageGrantTTL),
+		LeaderLeaseTTL: LeaseTTL, GrantTimeout: GrantTimeout,
+	}
 }
 
 func (l *Leader) clusterState(s *view.Snapshot, name string, state *serviceState) assign.ClusterState {
@@ -424,6 +433,7 @@
 	}
 	cluster := l.clusterState(s, name, state)
 	now := l.Clock()
+	cluster.IsStoreUnavailable = lease.ValidUntil()-now < LeaseTTL-renewalGap
 	if state.recovery != nil {
 		l.stepRecovery(ctx, lease, name, state, cluster)
 		return true
@@ -527,7 +537,7 @@
 func (l *Leader) execute(ctx context.Context, lease *presence.Lease, name string, recorder resultRecorder, command assign.Command) {
 	var result assign.Result
 	if _, isCertain := lease.Lease(); !isCertain {
-		result.IsUnanswered = true
+		result.IsUnanswered, result.IsUnsent = true, true
 	} else {
 		result = l.callOwner(ctx, name, command)
 	}
@@ -558,9 +568,8 @@
 		l.ObserveResponse(command.Owner, meta, sentAt)
 	}
 	result.IsFenced = errors.Is(err, redwingstall.ErrFenced)
-	result.IsConnectionRefused = errors.Is(err, redwingstall.ErrConnectionRefused)
-	result.IsReplaced = errors.Is(err, redwingstall.ErrAddressReassigned)
 	result.IsUnanswered = err != nil && !result.IsFenced
+	result.IsUnsent = errors.Is(err, redwingstall.ErrNotSent)
 	if err != nil || command.Kind == assign.CommandRelease {
 		l.Log.Info("order", "kind", command.Kind, "service", name, "server", command.Owner.ID, "from", command.Keys.From, "to", command.Keys.To,
 			"fence", command.Fence, "handover", result.Handover != "", "error", errorText(err))
