Recover the owners of keys if a term of the former era stored no map

Callers may have seen two owners of a key after a recovery of the store. Found by the search only; not shown on the program.

Cause: two leaders of one era without a map, one of which has lost its lease early, recover at the same time. One stores a map and grants keys. The other, which has stored none, continues in the next era with its own.

The simulation left out that the program's write meets a conflict, but the program decided by a map that was never stored as well, if that write could not be sent.

Change: a term continues only with a map that it has stored. A leader that follows within the era finds that map and waits for its predecessor.

TestTermWithoutAStoredMapDoesNotContinue failed before. Two fixtures of other tests had a map without a revision; they now have one, as a term that acts on a map does.

--- a/internal/ownership/assign/simulation_test.go
+++ b/internal/ownership/assign/simulation_test.go
@@ -126,6 +126,7 @@
 	reusesFenceOfEra    bool
 	believesEarlierEra  bool
 	continuesUncertain  bool
+	continuesUnstored   bool
 	believesRefusals    bool
 	believesOtherServer bool
 	violation           string
@@ -319,9 +320,9 @@
 	m.plan(l, cluster)
 }
 
-func (*simulation) endTerm(l *fakeLeader, mayContinue bool) {
+func (m *simulation) endTerm(l *fakeLeader, mayContinue bool) {
 	l.isLeading, l.suspended = false, nil
-	if mayContinue && l.recovery == nil && l.revision != 0 {
+	if mayContinue && l.recovery == nil && (l.revision != 0 || m.continuesUnstored) {
 		l.suspended, l.suspendedEra = l.assigner, l.termEra
 	}
 	l.recovery = nil
@@ -562,6 +563,9 @@
 		},
 		"the owners of an earlier era are believed":              func(m *simulation) { m.believesEarlierEra = true },
 		"a leader continues although its lease may have expired": func(m *simulation) { m.continuesUncertain = true },
+		"a leader continues with a map that it never stored": func(m *simulation) {
+			m.continuesUnstored, m.recoveryRate = true, 0.3
+		},
 	} {
 		require.True(t, findsViolation(injectBug), name)
 	}
--- a/internal/ownership/leader/history.go
+++ b/internal/ownership/leader/history.go
@@ -183,12 +183,14 @@
 }
 
 // suspendedState returns the state of a service in this instance's own term of the era
-// before, or nil if there is none to continue with.
+// before, or nil if there is none to continue with. A map that the term never stored is
+// none: the era had no map then, so that another leader may have stored one and granted keys
+// without waiting for this term to end.
 func (l *Leader) suspendedState(era redwingstall.Era, name string) *serviceState {
 	if l.suspended == nil || l.suspended.era+1 != era {
 		return nil
 	}
-	if s := l.suspended.services[name]; s != nil && s.assigner != nil {
+	if s := l.suspended.services[name]; s != nil && s.assigner != nil && s.position.Revision != 0 {
 		return s
 	}
 	return nil
--- a/internal/ownership/leader/history_test.go
+++ b/internal/ownership/leader/history_test.go
@@ -75,7 +75,7 @@
 // came before the leader could write its map after the first one.
 func TestTermContinuesAfterTwoRecoveries(t *testing.T) {
 	newState := func() *serviceState {
-		return &serviceState{assigner: assign.NewAssigner(0, assign.Timing{}, shardmap.Map{})}
+		return &serviceState{assigner: assign.NewAssigner(0, assign.Timing{}, shardmap.Map{}), position: redwingstall.Position{Era: 1, Revision: 5}}
 	}
 	l := NewLeader(Config{})
 	l.services = map[string]*serviceState{"tried": newState(), "untried": newState()}
@@ -96,7 +96,7 @@
 	last := shardmap.Map{}
 	last.Divide([]shardmap.Server{{ID: "a", StartedAtMillis: 1}})
 	l := NewLeader(Config{})
-	l.services = map[string]*serviceState{"keyed": {assigner: assign.NewAssigner(0, assign.Timing{}, last)}}
+	l.services = map[string]*serviceState{"keyed": {assigner: assign.NewAssigner(0, assign.Timing{}, last), position: redwingstall.Position{Era: 1, Revision: 5}}}
 	l.suspended = l.suspendTerm(1)
 	held := redwingstall.Lease{Era: 2, ID: 77}
 	own := last.Clone()
@@ -106,3 +106,14 @@
 	stored.Term = 78
 	require.False(t, l.canContinue(held, "keyed", stored), "another leader has taken over")
 }
+
+// Guards against a leader that goes on in a new era with a map that it never stored, while
+// another leader of the former era has granted keys by one that it did store.
+func TestTermWithoutAStoredMapDoesNotContinue(t *testing.T) {
+	stored := &serviceState{assigner: assign.NewAssigner(0, assign.Timing{}, shardmap.Map{}), position: redwingstall.Position{Era: 3, Revision: 7}}
+	unstored := &serviceState{assigner: stored.assigner, position: redwingstall.Position{Era: 3}}
+	l := &Leader{suspended: &suspendedTerm{era: 3, services: map[string]*serviceState{"stored": stored, "unstored": unstored}}}
+	require.Same(t, stored, l.suspendedState(4, "stored"))
+	require.Nil(t, l.suspendedState(4, "unstored"))
+	require.Nil(t, l.suspendedState(5, "stored"), "another leader may have led in era 4")
+}
