Bound the heads of responses in all clients

Cause: the bound of an order's answer was on its body only. Its head fell under the default of net/http, 10 MB, which take many times that when parsed. All other clients of net/http in the tree had the same default.

Change: each client reads 64 KB of a head at most (128 KB between instances, which add headers), informational responses included, as the requests' path did. A caller of another instance bounds the response, too.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 )
 
 const (
@@ -36,7 +37,7 @@
 	maxAnswerBytes = 8 << 20
 	// maxHeadBytes bounds the head of a response, including informational ones before
 	// it.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = http1.MaxHeadBytes
 	// maxFramingBytes bounds what the framing of a body adds to it.
 	maxFramingBytes = 1 << 20
 	// maxInlineBody is the size in bytes up to which a body is written before the
--- /dev/null
+++ b/internal/wire/http1/clients_test.go
@@ -0,0 +1,180 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/pkg/backend"
+	"github.com/redwingstall/redwingstall/pkg/livelist"
+	"github.com/redwingstall/redwingstall/pkg/operator"
+	"github.com/redwingstall/redwingstall/pkg/store"
+	"github.com/redwingstall/redwingstall/platform"
+)
+
+// callTimeout bounds a call of a test. The bounds of the clients end it long before.
+const callTimeout = 20 * time.Second
+
+// clientCalls makes one call with each client of HTTP/1.1 servers. Package backends, which
+// has a reader of its own, has the same tests.
+var clientCalls = map[string]func(ctx context.Context, address string) error{
+	"grantOfPlatform": func(ctx context.Context, address string) error {
+		meta, err := platform.NewOwnerClient().Grant(ctx, "i-1", address, redwingstall.KeyGrant{Fence: 1, TTL: time.Second})
+		return checkEmpty(err, meta == redwingstall.ResponseMeta{})
+	},
+	"releaseOfPlatform": func(ctx context.Context, address string) error {
+		handover, meta, err := platform.NewOwnerClient().Release(ctx, "i-1", address, redwingstall.KeyRange{}, 1)
+		return checkEmpty(err, handover == "" && meta == redwingstall.ResponseMeta{})
+	},
+	"storeOfPlatform": func(ctx context.Context, address string) error {
+		items, _, err := platform.NewStore(address).Range(ctx, "")
+		return checkEmpty(err, len(items) == 0)
+	},
+	"grant": func(ctx context.Context, address string) error {
+		_, err := backend.NewClient(address, 10).Grant(ctx, redwingstall.GrantOrder{})
+		return err
+	},
+	"release": func(ctx context.Context, address string) error {
+		_, err := backend.NewClient(address, 10).Release(ctx, redwingstall.ReleaseOrder{})
+		return err
+	},
+	"store": func(ctx context.Context, address string) error {
+		_, err := store.NewClient(address, callTimeout, metrics.NewRegistry()).Get(ctx, "x")
+		return err
+	},
+	"liveList": func(ctx context.Context, address string) error {
+		_, err := livelist.NewClient(address, callTimeout).Instances(ctx)
+		return err
+	},
+	"operator": func(ctx context.Context, address string) error {
+		_, err := operator.NewClient(address, "", nil).Query(ctx, "/x")
+		return err
+	},
+}
+
+// checkEmpty returns the error of a call, unless it comes with a part of the response.
+func checkEmpty(err error, isEmpty bool) error {
+	if err != nil && !isEmpty {
+		return nil
+	}
+	return err
+}
+
+// listen calls answer for each request on a new listener. It returns the address.
+func listen(t *testing.T, answer func(connection int, r *http.Request, c net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var connections atomic.Int32
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c, int(connections.Add(1)), answer)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func serve(c net.Conn, connection int, answer func(connection int, r *http.Request, c net.Conn)) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		answer(connection, r, c)
+	}
+}
+
+// sendEndless sends a start, and then a block again and again until the caller closes the
+// connection or limit bytes are sent. It returns how many were sent.
+func sendEndless(c net.Conn, start, block string, limit int) int {
+	sent, err := io.WriteString(c, start)
+	for many := strings.Repeat(block, 16<<10/len(block)); err == nil && sent < limit; {
+		n := 0
+		n, err = io.WriteString(c, many)
+		sent += n
+	}
+	return sent
+}
+
+// Guards against review/3: a server answered orders with heads without end, of which the
+// leader read 10 MB each until it exceeded its memory.
+func TestEndlessHeadsAreNoResponse(t *testing.T) {
+	// maxSent is far above the bound, and above what sockets buffer, but below the 10 MB that
+	// net/http reads by default.
+	const maxSent = 8 << 20
+	for start, name := range map[string]string{
+		"HTTP/1.1 200 OK\r\n":           "response",
+		"HTTP/1.1 103 Early Hints\r\n":  "informational",
+		"HTTP/1.1 421 Misdirected\r\n":  "rejection",
+		"HTTP/1.1 200 OK\r\nX-Long: zz": "line",
+	} {
+		for client, call := range clientCalls {
+			t.Run(client+"/"+name, func(t *testing.T) {
+				sent := make(chan int, 1)
+				address := listen(t, func(_ int, _ *http.Request, c net.Conn) {
+					block := "X: y\r\n"
+					if name == "line" {
+						block = "z"
+					}
+					n := sendEndless(c, start, block, 4*maxSent)
+					_ = c.Close()
+					select {
+					case sent <- n:
+					default:
+					}
+				})
+				ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+				defer cancel()
+				err := call(ctx, address)
+				require.Error(t, err)
+				require.False(t, errors.Is(err, redwingstall.ErrFenced) || errors.Is(err, redwingstall.ErrAddressReassigned), "%v", err)
+				require.Less(t, <-sent, maxSent, "the connection must be closed at the bound")
+			})
+		}
+	}
+}
+
+// Guards against review/3: what many orders at once take for heads without end must fit
+// into the memory of an instance.
+func TestEndlessHeadsOfManyOrdersTakeBoundedMemory(t *testing.T) {
+	address := listen(t, func(_ int, _ *http.Request, c net.Conn) {
+		sendEndless(c, "HTTP/1.1 200 OK\r\n", "X: y\r\n", 16<<20)
+		_ = c.Close()
+	})
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	client := platform.NewOwnerClient()
+	var orders sync.WaitGroup
+	const count, mostOfEach = 20, 4 << 20
+	for i := range count {
+		orders.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			_, _, _ = client.Release(ctx, "i-1", address, redwingstall.KeyRange{From: i, To: i}, 1)
+		})
+	}
+	orders.Wait()
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(count*mostOfEach))
+}
--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -162,8 +162,6 @@
 	return token, nil
 }
 
-const maxPeerMessageBytes = 32 << 20
-
 func (d *Daemon) openListeners(api *operator.API, peerCertificates, operatorCertificates *listen.Certificates) error {
 	addresses := d.common.Settings.Listen
 	var err error
@@ -176,7 +174,7 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peer.NewHandler(d.control.Responder(), maxPeerMessageBytes))
+	mux.Handle(peer.NewHandler(d.control.Responder(), peer.MaxMessageBytes))
 	mux.Handle(peer.ForwardPrefix+"/", d.router.ForwardHandler())
 	d.peers, err = listen.NewServer(d.common, "peers", addresses.Peers, mux, peerCertificates.ServerConfig())
 	return err
--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 	"github.com/redwingstall/redwingstall/pkg/wire"
 )
 
@@ -48,12 +49,13 @@
 
 func newTransport(connections int, disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-		DisableKeepAlives:   disableKeepAlives,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		DisableKeepAlives:      disableKeepAlives,
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}
 }
 
--- a/pkg/livelist/client.go
+++ b/pkg/livelist/client.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 	"github.com/redwingstall/redwingstall/pkg/wire"
 )
 
@@ -25,7 +26,7 @@
 
 // NewClient returns a client of the list at an address. The timeout bounds each call.
 func NewClient(address string, timeout time.Duration) *Client {
-	return &Client{baseURL: "http://" + address + "/v1/instances/", http: &http.Client{Timeout: timeout}}
+	return &Client{baseURL: "http://" + address + "/v1/instances/", http: &http.Client{Timeout: timeout, Transport: &http.Transport{MaxResponseHeaderBytes: http1.MaxHeadBytes}}}
 }
 
 var _ redwingstall.LiveList = (*Client)(nil)
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 )
 
 // Client sends commands and queries to one entry instance.
@@ -39,7 +40,7 @@
 	return &Client{
 		baseURL: scheme + "://" + address,
 		token:   token,
-		http:    &http.Client{Timeout: clientTimeout, Transport: &http.Transport{TLSClientConfig: config}},
+		http:    &http.Client{Timeout: clientTimeout, Transport: &http.Transport{TLSClientConfig: config, MaxResponseHeaderBytes: http1.MaxHeadBytes}},
 	}
 }
 
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 	"github.com/redwingstall/redwingstall/pkg/peer/peerv1"
 	"github.com/redwingstall/redwingstall/pkg/peer/peerv1/peerv1connect"
 )
@@ -102,6 +103,8 @@
 	idleConnTimeout  = 20 * time.Second
 	idleConnsPerPeer = 512
 	pingTimeout      = time.Second
+	// MaxMessageBytes bounds a message between instances. The largest has all records.
+	MaxMessageBytes = 32 << 20
 )
 
 // NewClients returns an empty set of clients. They use TLS if config is not nil.
@@ -125,6 +128,8 @@
 		MaxIdleConnsPerHost: idleConnsPerPeer,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+		// A forwarded response has headers of its own beside those of the server.
+		MaxResponseHeaderBytes: 2 * http1.MaxHeadBytes,
 	}
 }
 
@@ -153,7 +158,7 @@
 	if client := c.clients[address]; client != nil {
 		return client
 	}
-	client := &Client{service: peerv1connect.NewPeerServiceClient(c.control, c.scheme+"://"+address)}
+	client := &Client{service: peerv1connect.NewPeerServiceClient(c.control, c.scheme+"://"+address, connect.WithReadMaxBytes(MaxMessageBytes))}
 	c.clients[address] = client
 	return client
 }
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 	"github.com/redwingstall/redwingstall/pkg/wire"
 )
 
@@ -104,8 +105,9 @@
 // for Watch it is added to the time that the store waits for changes.
 func NewClient(address string, timeout time.Duration, registry metrics.Registry) *Client {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnsPerHost,
+		DialContext:            (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConnsPerHost:    idleConnsPerHost,
+		MaxResponseHeaderBytes: http1.MaxHeadBytes,
 	}
 	return &Client{
 		baseURL: "http://" + address + "/v1/",
