Take only whole responses as responses

Cause: the body of an order's answer was read through io.LimitReader, which ends without an error at its limit. The clients of the store, of operators and of redwingstall serve did the same.

Change: http1.ReadBody returns an error for a body beyond its bound, and is what all clients read with. An order's response to redwingstall serve is bounded by 1 MB in place of 64 MB.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -341,14 +341,11 @@
 		return Response{}, false, err
 	}
 	c.limit.allow(maxAnswerBytes + maxFramingBytes)
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
+	body, err := http1.ReadBody(answer.Body, maxAnswerBytes)
 	_ = answer.Body.Close()
 	if err != nil {
 		return Response{}, false, err
 	}
-	if len(body) > maxAnswerBytes {
-		return Response{}, false, errors.Newf("response exceeds %d bytes", maxAnswerBytes)
-	}
 	isDelimited := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0 || request.Method == http.MethodHead
 	c.idleFor = idleTime(answer.Header)
 	hasEnd = isDelimited && !answer.Close
--- a/internal/wire/http1/clients_test.go
+++ b/internal/wire/http1/clients_test.go
@@ -178,3 +178,52 @@
 	runtime.ReadMemStats(&after)
 	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(count*mostOfEach))
 }
+
+// Guards against review/4: the start of a body without end, or of one that breaks off, counted
+// as the answer to a release, and the keys went to another server while the first one
+// worked on them.
+func TestIncompleteResponsesAreNoResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nHandover: h\r\n"
+	write := func(text string) func(net.Conn) {
+		return func(c net.Conn) { _, _ = io.WriteString(c, text) }
+	}
+	endless := func(start, block string) func(net.Conn) {
+		return func(c net.Conn) { sendEndless(c, start, block, 256<<20) }
+	}
+	for name, answer := range map[string]func(c net.Conn){
+		"endlessBody":        endless(head+"\r\n", " "),
+		"endlessLength":      endless(head+"Content-Length: 9000000000\r\n\r\n", " "),
+		"endlessChunks":      endless(head+"Transfer-Encoding: chunked\r\n\r\n", "1\r\n \r\n"),
+		"endlessChunk":       endless(head+"Transfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n", " "),
+		"endlessSize":        endless(head+"Transfer-Encoding: chunked\r\n\r\n1;x=", "y"),
+		"endlessTrailer":     endless(head+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"),
+		"endlessConflict":    endless("HTTP/1.1 409 Conflict\r\n\r\n", " "),
+		"endlessMisdirected": endless("HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\n\r\n", " "),
+		"cutBody":            write(head + "Content-Length: 3\r\n\r\n{}"),
+		"cutChunks":          write(head + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n"),
+		"cutHead":            write(head),
+		"cutConflict":        write("HTTP/1.1 409 Conflict\r\nContent-Length: 3\r\n\r\nx"),
+		"noResponse":         write("\x00\x01 200 OK\r\n\r\n{}"),
+		"twoLengths":         write(head + "Content-Length: 2\r\nContent-Length: 5\r\n\r\n{}"),
+		"resetBody": func(c net.Conn) {
+			_, _ = io.WriteString(c, head+"\r\n{")
+			_ = c.(*net.TCPConn).SetLinger(0)
+		},
+	} {
+		for client, call := range clientCalls {
+			t.Run(client+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				address := listen(t, func(_ int, _ *http.Request, c net.Conn) {
+					answer(c)
+					_ = c.Close()
+				})
+				ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+				defer cancel()
+				err := call(ctx, address)
+				require.Error(t, err)
+				require.NoError(t, ctx.Err(), "the bound must end the call, not its timeout")
+				require.False(t, errors.Is(err, redwingstall.ErrFenced) || errors.Is(err, redwingstall.ErrAddressReassigned), "%v", err)
+			})
+		}
+	}
+}
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -2,6 +2,29 @@
 // head or a body without end, until its caller closes the connection.
 package http1
 
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
 // MaxHeadBytes bounds the head of a response, for http.Transport.MaxResponseHeaderBytes. The
 // default of net/http is 10 MB, which take many times that memory when they are parsed.
 const MaxHeadBytes = 64 << 10
+
+// ErrTooLong means that a response is longer than its bound. What was read of it is no
+// response.
+var ErrTooLong = errors.New("response is too long")
+
+// ReadBody reads a whole body of at most limit bytes. It returns ErrTooLong for a longer one,
+// and the error of the connection for one that breaks off.
+func ReadBody(body io.Reader, limit int64) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(content)) > limit {
+		return nil, errors.Wrapf(ErrTooLong, "above %d bytes", limit)
+	}
+	return content, nil
+}
--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -32,6 +32,8 @@
 	// maxConcurrentHomes is the number of home instances that may have connections
 	// open to a server at the same time, as during a handover between two.
 	maxConcurrentHomes = 2
+	// maxOrderResponseBytes is far above a response that lists each shard.
+	maxOrderResponseBytes = 1 << 20
 )
 
 // NewClient returns a client of the server at an address. The client opens at most
@@ -83,6 +85,6 @@
 
 func sendOrder[Req any](ctx context.Context, c *Client, name string, request Req) (redwingstall.OrderResponse, error) {
 	url := fmt.Sprintf("%s/orders/%s", c.baseURL, name)
-	response, err := wire.PostJSON[Req, redwingstall.OrderResponse](ctx, c.orderClient, url, request)
+	response, err := wire.PostJSONWithin[Req, redwingstall.OrderResponse](ctx, c.orderClient, url, maxOrderResponseBytes, request)
 	return response, errors.Wrapf(err, "backend server: %s order", name)
 }
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -86,7 +85,7 @@
 		return nil, errors.Mark(errors.Wrap(err, "operator"), redwingstall.ErrUnavailable)
 	}
 	defer response.Body.Close()
-	responseBody, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	responseBody, err := http1.ReadBody(response.Body, maxResponseBytes)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "operator"), redwingstall.ErrUnavailable)
 	}
--- a/pkg/wire/json.go
+++ b/pkg/wire/json.go
@@ -7,15 +7,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 )
 
-// MaxResponseBytes bounds the response body that PostJSON reads.
+// MaxResponseBytes bounds the body of any response. The largest lists all records of the
+// store.
 const MaxResponseBytes = 64 << 20
 
 // StatusError is a response with a status other than 200 OK.
@@ -33,6 +34,12 @@
 // with [redwingstall.ErrUnavailable] if no complete response arrives or its status
 // is 500 or above. Any other status than 200 returns a [*StatusError].
 func PostJSON[Req, Res any](ctx context.Context, client *http.Client, url string, request Req) (Res, error) {
+	return PostJSONWithin[Req, Res](ctx, client, url, MaxResponseBytes, request)
+}
+
+// PostJSONWithin is PostJSON for responses of at most limit bytes. A longer one counts as no
+// complete response.
+func PostJSONWithin[Req, Res any](ctx context.Context, client *http.Client, url string, limit int64, request Req) (Res, error) {
 	var result Res
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -48,7 +55,7 @@
 		return result, errors.Mark(errors.Wrap(err, "call"), redwingstall.ErrUnavailable)
 	}
 	defer response.Body.Close()
-	responseBody, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes))
+	responseBody, err := http1.ReadBody(response.Body, limit)
 	if err != nil {
 		return result, errors.Mark(errors.Wrap(err, "answer"), redwingstall.ErrUnavailable)
 	}
