Release keys over a connection that carried no other order

Cause: orders have no id, and their connections were kept.

Change: each release has a new connection, on which nothing earlier can come.

--- a/internal/wire/http1/clients_test.go
+++ b/internal/wire/http1/clients_test.go
@@ -227,3 +227,60 @@
 		}
 	}
 }
+
+// Guards against review/2: a server sent its answer to a release once more, late, where the
+// next answer on the connection is expected. It counted as the answer to the next release.
+func TestEarlierAnswerIsNotTheAnswerToTheNextOrder(t *testing.T) {
+	const orders = 5
+	for name, late := range map[string]string{
+		"earlierAnswer": "HTTP/1.1 200 OK\r\nHandover: early\r\nContent-Length: 2\r\n\r\n{}",
+		"conflict":      "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n",
+		"misdirected":   "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			answered := map[int]bool{}
+			var mu sync.Mutex
+			address := listen(t, func(connection int, r *http.Request, c net.Conn) {
+				mu.Lock()
+				defer mu.Unlock()
+				if answered[connection] {
+					_, _ = io.WriteString(c, late)
+				}
+				answered[connection] = true
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nHandover: true\r\nContent-Length: 13\r\n\r\n{\"boot\":\"b1\"}")
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			defer cancel()
+			owners, server := platform.NewOwnerClient(), backend.NewClient(address, 10)
+			for n := range orders {
+				handover, _, err := owners.Release(ctx, "i-1", address, redwingstall.KeyRange{}, int64(n))
+				require.NoError(t, err)
+				require.Equal(t, "true", handover)
+				_, err = owners.Grant(ctx, "i-1", address, redwingstall.KeyGrant{Fence: int64(n), TTL: time.Second})
+				require.NoError(t, err, "nobody rejected the grant")
+				response, err := server.Release(ctx, redwingstall.ReleaseOrder{})
+				require.NoError(t, err)
+				require.Equal(t, "b1", response.Boot)
+			}
+		})
+	}
+}
+
+// A rejection that the server repeats on a new connection is its own.
+func TestGrantIsRejectedByTheServerItself(t *testing.T) {
+	var grants atomic.Int32
+	address := listen(t, func(_ int, _ *http.Request, c net.Conn) {
+		status := "200 OK"
+		if grants.Add(1) > 1 {
+			status = "409 Conflict"
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	client := platform.NewOwnerClient()
+	_, err := client.Grant(ctx, "i-1", address, redwingstall.KeyGrant{Fence: 1, TTL: time.Second})
+	require.NoError(t, err)
+	_, err = client.Grant(ctx, "i-1", address, redwingstall.KeyGrant{Fence: 1, TTL: time.Second})
+	require.True(t, errors.Is(err, redwingstall.ErrFenced), "%v", err)
+}
--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -18,8 +18,11 @@
 
 // Client sends orders and requests to one backend server.
 type Client struct {
-	baseURL            string
-	orderClient        *http.Client
+	baseURL     string
+	orderClient *http.Client
+	// releaseClient uses a new connection for each release: a response to an order has no
+	// id, and one to an earlier order that comes late must not prove the release.
+	releaseClient      *http.Client
 	keepAliveTransport *http.Transport
 	singleUseTransport *http.Transport
 }
@@ -37,13 +40,14 @@
 )
 
 // NewClient returns a client of the server at an address. The client opens at most
-// half of the connections that the server accepts, one of them for orders, so that
+// half of the connections that the server accepts, two of them for orders, so that
 // two home instances can be connected during a handover.
 func NewClient(address string, connections int) *Client {
-	limit := max(connections/maxConcurrentHomes-1, 1)
+	limit := max(connections/maxConcurrentHomes-2, 1)
 	return &Client{
 		baseURL:            "http://" + address,
 		orderClient:        &http.Client{Transport: newTransport(1, false)},
+		releaseClient:      &http.Client{Transport: newTransport(1, true)},
 		keepAliveTransport: newTransport(limit, false),
 		singleUseTransport: newTransport(limit, true),
 	}
@@ -70,21 +74,21 @@
 
 // Grant sends an order that issues or extends grants.
 func (c *Client) Grant(ctx context.Context, order redwingstall.GrantOrder) (redwingstall.OrderResponse, error) {
-	return sendOrder(ctx, c, "grant", order)
+	return sendOrder(ctx, c, c.orderClient, "grant", order)
 }
 
 // Release sends an order that ends grants.
 func (c *Client) Release(ctx context.Context, order redwingstall.ReleaseOrder) (redwingstall.OrderResponse, error) {
-	return sendOrder(ctx, c, "release", order)
+	return sendOrder(ctx, c, c.releaseClient, "release", order)
 }
 
 // Status returns the server's boot ID, clock and number of requests in flight.
 func (c *Client) Status(ctx context.Context) (redwingstall.OrderResponse, error) {
-	return sendOrder(ctx, c, "status", struct{}{})
+	return sendOrder(ctx, c, c.orderClient, "status", struct{}{})
 }
 
-func sendOrder[Req any](ctx context.Context, c *Client, name string, request Req) (redwingstall.OrderResponse, error) {
+func sendOrder[Req any](ctx context.Context, c *Client, client *http.Client, name string, request Req) (redwingstall.OrderResponse, error) {
 	url := fmt.Sprintf("%s/orders/%s", c.baseURL, name)
-	response, err := wire.PostJSONWithin[Req, redwingstall.OrderResponse](ctx, c.orderClient, url, maxOrderResponseBytes, request)
+	response, err := wire.PostJSONWithin[Req, redwingstall.OrderResponse](ctx, client, url, maxOrderResponseBytes, request)
 	return response, errors.Wrapf(err, "backend server: %s order", name)
 }
