Let servers of the search take no key by a grant whose time is over

The trace: a grant to s2 with token ...315 arrives at 22.625 s for 5 s and is applied at 33.225 s; its time ended at 27.6 s, s3 was granted the key with token ...321 at 28.85 s. The check of tokens now covers grants that are in force when they are applied; that of two holders is unchanged.

--- a/internal/ownership/assign/simulation_test.go
+++ b/internal/ownership/assign/simulation_test.go
@@ -486,12 +486,15 @@
 			s.grantedUntil[i] = 0
 			continue
 		}
+		hold := time.Duration(float64(c.GrantTTL) * (1 + s.clockDrift))
+		if arrived+hold <= m.now {
+			continue // applied late, when its time is over: the server takes no key
+		}
 		if s.grantFence[i] != c.Fence {
 			m.checkFence(s, i, c.Fence)
 			m.grantsApplied++
 		}
 		s.grantFence[i] = c.Fence
-		hold := time.Duration(float64(c.GrantTTL) * (1 + s.clockDrift))
 		s.grantedUntil[i] = max(s.grantedUntil[i], arrived+hold)
 	}
 	return Result{Handover: "h"}
