Play servers whose answers to orders are in disorder

Stand-ins send the answer to a release once more, late, or heads and bodies without end, and record grants of keys that another server is at work on. The soak disturbs orders in each run, partitions servers with refused connections, and reports processes that end by themselves, which it did not notice before.

--- a/internal/ownership/leader/leader_test.go
+++ b/internal/ownership/leader/leader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -82,7 +83,7 @@
 }
 
 func (b *testBed) server(n int) *platformtest.Server {
-	s, err := platformtest.NewServer(b.ledger, platformtest.Server{ID: fmt.Sprintf("s%d", n), StartedAtMillis: 1, Service: "keyed", FailureDomain: "a", Sharded: true, Slots: 4})
+	s, err := platformtest.NewServer(b.ledger, platformtest.Server{ID: fmt.Sprintf("s%d", n), StartedAtMillis: 1, Service: "keyed", FailureDomain: "a", Sharded: true, Slots: 4, Work: 1500 * time.Millisecond})
 	require.NoError(b.t, err)
 	b.t.Cleanup(s.Crash)
 	b.store.Put(platform.ServerEntryPrefix+s.ID, s.Entry(s.Address(), "ready"))
@@ -235,3 +236,58 @@
 	require.Eventually(t, func() bool { return keysByOwner(one)["s2"] == redwingstall.KeyCount }, within, poll)
 	require.Empty(t, b.ledger.Violations())
 }
+
+// Guards against review/2 and review/4: keys are granted to another server while their owner
+// works on them, since the answer to another release, or one without end, counted as that to
+// its release.
+func TestKeysOfAnOwnerAtWorkStayWithItWhateverItsAnswersLookLike(t *testing.T) {
+	for name, kind := range map[string]platformtest.Disorder{
+		"lateCopies": platformtest.LateCopies, "endlessBodies": platformtest.EndlessBodies, "endlessHeads": platformtest.EndlessHeads,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestBed(t)
+			first, second := b.server(1), b.server(2)
+			one := b.candidate("one")
+			const within, poll = 20 * time.Second, 20 * time.Millisecond
+			list := func(s *platformtest.Server, state string) {
+				b.store.Put(platform.ServerEntryPrefix+s.ID, s.Entry(s.Address(), state))
+			}
+			ownsAll := func(id string) func() bool {
+				return func() bool { return keysByOwner(one)[id] == redwingstall.KeyCount }
+			}
+			require.Eventually(t, func() bool { return len(keysByOwner(one)) == 2 }, within, poll)
+			if kind == platformtest.LateCopies {
+				first.DisturbOrders(kind)
+			}
+			list(first, "draining")
+			require.Eventually(t, ownsAll("s2"), within, poll)
+			list(first, "ready")
+			list(second, "draining")
+			require.Eventually(t, ownsAll("s1"), within, poll)
+			time.Sleep(200 * time.Millisecond) // the grants arrive
+			first.DisturbOrders(kind)
+
+			working := make(chan int, 1)
+			go func() { working <- ask(first.Address(), "r-1", 5) }()
+			require.Eventually(t, func() bool { return b.ledger.RunCount("r-1") == 1 }, within, time.Millisecond)
+			list(second, "ready")
+			list(first, "draining")
+			require.Eventually(t, ownsAll("s2"), within, poll)
+			require.Equal(t, http.StatusOK, <-working)
+			require.Empty(t, b.ledger.Violations())
+		})
+	}
+}
+
+// ask sends a request for a key to a server, and returns the status of the response.
+func ask(address, id string, key int) int {
+	request, _ := http.NewRequest(http.MethodGet, "http://"+address+"/x", nil)
+	platformtest.SetRequest(request.Header, id, time.Minute, key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -25,6 +25,10 @@
 	process *exec.Cmd
 	exited  chan struct{}
 	starts  int
+	// isEnding is set once the process was told to end, or may have been.
+	isEnding bool
+	// reportEnd is called if the process ends by itself.
+	reportEnd func()
 	// disturbedAt is when the process was last started, signaled or affected by a
 	// network fault.
 	disturbedAt time.Time
@@ -71,9 +75,15 @@
 	exited := make(chan struct{})
 	go func() {
 		_ = process.Wait() // the process logs why it ended
+		i.mu.Lock()
+		isEnding := i.isEnding
+		i.mu.Unlock()
+		if !isEnding {
+			i.reportEnd()
+		}
 		close(exited)
 	}()
-	i.process, i.exited = process, exited
+	i.process, i.exited, i.isEnding = process, exited, false
 	i.starts++
 	i.disturbedAt = time.Now()
 	return nil
@@ -99,6 +109,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.disturbedAt = time.Now()
+	i.isEnding = i.isEnding || signal == syscall.SIGKILL || signal == syscall.SIGTERM
 	if i.process != nil {
 		_ = i.process.Process.Signal(signal) // the process may have ended meanwhile
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -26,15 +26,15 @@
 		return nil, err
 	}
 	p := &proxy{listener: listener, target: target, connections: map[net.Conn]bool{}, changed: make(chan struct{})}
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.currentListener().Addr().String() }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -118,7 +118,7 @@
 }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	_ = p.currentListener().Close()
 	p.set(false, false, 0)
 	p.reset()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -111,6 +111,8 @@
 	}
 	var faults sync.WaitGroup
 	faults.Go(func() { s.makeDemands(config.Duration) })
+	faults.Go(func() { s.disturbOrders(config.Duration) })
+	faults.Go(func() { s.writeOddEntries(config.Duration) })
 	if config.RestoresStore {
 		restore, delay := s.drawFault(namedFault{"restoreStore", s.restoreStore}), s.random.Int64N(int64(config.Duration))
 		faults.Go(func() {
@@ -157,6 +159,7 @@
 		i := &instance{
 			name: fmt.Sprintf("entry-%d", n), ip: fmt.Sprintf("127.%d.0.%d", s.config.Network, n+1), domain: domains[n%len(domains)],
 			command: s.config.Command, folder: s.config.Folder, store: p,
+			reportEnd: func() { s.ledger.RecordViolation("entry-%d has ended by itself", n) },
 		}
 		if err := i.start(); err != nil {
 			return err
