--- a/internal/fleet/view/servers.go
+++ b/internal/fleet/view/servers.go
@@ -30,7 +30,17 @@
 // IsWarmingUp reports whether the server is limited to its warm-up rate.
 func (s *Server) IsWarmingUp(now time.Time) bool { return now.Before(s.WarmupEndsAt) }
 
+// maxStartAhead is how far ahead of this instance's clock a server may have started. Clocks
+// differ by seconds.
+const maxStartAhead = 10 * time.Minute
+
 func (v *View) setEntry(now time.Time, next *Snapshot, e redwingstall.BackendEntry) {
+	if time.UnixMilli(e.StartedAtMillis).Sub(now) > maxStartAhead {
+		// It would count as newer than all that the server writes itself.
+		v.log.Warn("entry of a server that starts in the future", "server", e.ID, "born", e.StartedAtMillis)
+		v.removeEntry(now, next, e.ID)
+		return
+	}
 	previous := next.ByID[e.ID]
 	if previous != nil && e.IsOlderThan(previous.BackendEntry) {
 		v.ignoreOlderEntry(next, previous, e)
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -93,3 +93,16 @@
 	require.True(t, server.IsWarmingUp(start.Add(900*time.Millisecond)))
 	require.False(t, server.IsWarmingUp(start.Add(1100*time.Millisecond)))
 }
+
+// Guards against an entry of another writer that is newer than all that the server writes.
+func TestEntryOfAServerThatStartsInTheFutureIsIgnored(t *testing.T) {
+	v := view.NewView(slog.New(slog.DiscardHandler), 2*time.Second)
+	now := time.UnixMilli(1_700_000_000_000)
+	entry := redwingstall.BackendEntry{ID: "i-1", Service: "s", Address: "10.1.0.9:80", FailureDomain: "a", Slots: 4}
+	entry.StartedAtMillis = now.Add(365 * 24 * time.Hour).UnixMilli()
+	v.Apply(now, []redwingstall.Event{redwingstall.EntryChanged{Entry: entry}}, false)
+	require.Nil(t, v.Snapshot().ByID["i-1"])
+	entry.StartedAtMillis = now.UnixMilli()
+	v.Apply(now, []redwingstall.Event{redwingstall.EntryChanged{Entry: entry}}, false)
+	require.NotNil(t, v.Snapshot().ByID["i-1"])
+}
