Keep requests that end servers away from them

Cause: nothing told such a request from a broken connection. Each instance saw one of its attempts, and the client repeats it elsewhere under another id.

Change: a request under which a server ended is suspected by all instances, which learn of it in datagrams at once. It runs again on trial only, once in the fleet, at a server without another trial, never hedged. A success clears it; if it ends that server, it is rejected for 30 s, doubling, with 503 and Retry-After, since it has not run. An address that refuses connections shows the end of a server.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -198,6 +198,25 @@
 	return c, err
 }
 
+// HasEnded reports whether nothing listens at a server's address any more. It needs no new
+// connection while an idle one is open, and keeps one that it opens. A partition may look the
+// same.
+func (p *Pool) HasEnded(ctx context.Context, id, address string, limits Limits) bool {
+	c, err := p.get(ctx, id, address, limits.Open)
+	if err != nil {
+		attemptError := &Error{}
+		return errors.As(err, &attemptError) && attemptError.IsRefused
+	}
+	if c.idleFor == 0 { // new
+		c.idleSince, c.idleFor = time.Now(), idleLimit
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[c.key]
+	s.idle = append(s.idle, c)
+	return false
+}
+
 func (p *Pool) dial(ctx context.Context, key, address string) (*connection, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
--- a/internal/entry/backends/backends_test.go
+++ b/internal/entry/backends/backends_test.go
@@ -32,7 +32,7 @@
 	s := &server{listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
-		n := 0
+		var n atomic.Int32
 		for {
 			c, err := listener.Accept()
 			if err != nil {
@@ -46,8 +46,7 @@
 					if err != nil {
 						return
 					}
-					n++
-					script(n, request, c)
+					script(int(n.Add(1)), request, c)
 				}
 			}()
 		}
@@ -295,3 +294,33 @@
 		}
 	}
 }
+
+// Guards against a check of a server that needs a connection for each use, or takes a server
+// for ended that only broke one connection off.
+func TestHasEndedTellsBrokenConnectionsFromEndedServers(t *testing.T) {
+	s := serve(t, func(n int, r *http.Request, c net.Conn) {
+		if n == 2 {
+			_ = c.Close()
+			return
+		}
+		reply(c, r.Header.Get("Request-Id"), "")
+	})
+	p := pool()
+	limits := backends.Limits{Open: 4}
+	address := s.listener.Addr().String()
+	_, err := do(p, s, "1")
+	require.NoError(t, err)
+	require.False(t, p.HasEnded(t.Context(), "s", address, limits))
+	require.EqualValues(t, 1, s.accepted.Load(), "an idle connection shows it")
+	_, err = do(p, s, "2")
+	require.Error(t, err)
+	require.False(t, p.HasEnded(t.Context(), "s", address, limits))
+	require.Eventually(t, func() bool { return s.accepted.Load() == 2 }, time.Second, time.Millisecond)
+	_, err = do(p, s, "3")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, s.accepted.Load(), "the connection of the check is used")
+	_ = s.listener.Close()
+	require.True(t, p.HasEnded(t.Context(), "other", address, limits))
+	open, _ := p.Connections("other", address)
+	require.Zero(t, open)
+}
--- a/internal/fleet/peers/fleet_test.go
+++ b/internal/fleet/peers/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
@@ -135,6 +136,7 @@
 	keys      *keyLog
 	exchange  *Exchange
 	limiter   *serverlimit.Limiter
+	table     *quarantine.Table
 }
 
 type fleet struct {
@@ -169,6 +171,8 @@
 				return serverlimit.Instances{Names: s.StayingPeers, Version: s.PeersVersion}
 			}}
 			m.exchange.ShareLimits(m.limiter)
+			m.table = &quarantine.Table{Self: m.name}
+			m.exchange.ShareQuarantine(m.table)
 			record, err := view.PeerRecord(self)
 			require.NoError(t, err)
 			events = append(events, redwingstall.RecordChanged{Change: redwingstall.Change{Item: record}})
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -18,6 +18,7 @@
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
@@ -83,6 +84,13 @@
 	firstComparedAt time.Time
 	comparedAt      time.Time
 
+	// quarantine holds the requests that end servers, if they are shared. sentRecords are the
+	// records of the last message, and quarantineComparedAt is when all were compared.
+	quarantine           *quarantine.Table
+	sentRecords          []quarantine.Record
+	startedAt            time.Time
+	quarantineComparedAt time.Time
+
 	mu              sync.Mutex
 	topologyOf      *view.Snapshot
 	currentTopology *topology
@@ -137,6 +145,7 @@
 		defer close(received)
 		e.receive(ctx)
 	}()
+	e.startedAt = time.Now()
 	lastSums := time.Time{}
 	for ctx.Err() == nil {
 		t := e.topology()
@@ -145,6 +154,10 @@
 			e.broadcastServers(now, t)
 			e.compareServers(now, t)
 		}
+		if e.quarantine != nil {
+			e.broadcastQuarantine(now, t)
+			e.compareQuarantine(now, t)
+		}
 		if t.hasSums {
 			e.sendToReporters(now, t)
 		} else {
@@ -154,15 +167,27 @@
 			lastSums = now
 			e.sendSums(now, t)
 		}
-		timer := time.NewTimer(t.interval())
+		e.awaitNextExchange(ctx, t.interval())
+	}
+	_ = e.socket.Close()
+	<-received
+}
+
+// awaitNextExchange waits for an interval. Records of requests that end servers are sent
+// meanwhile: the next instance may repeat the request at once.
+func (e *Exchange) awaitNextExchange(ctx context.Context, interval time.Duration) {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for {
 		select {
+		case <-e.quarantineWake():
+			e.broadcastQuarantine(time.Now(), e.topology())
 		case <-timer.C:
+			return
 		case <-ctx.Done():
-			timer.Stop()
+			return
 		}
 	}
-	_ = e.socket.Close()
-	<-received
 }
 
 // timerTolerance is how much earlier than due the sums are sent, so that the ticks of the
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -27,6 +27,12 @@
 			}
 			continue
 		}
+		if n > 0 && buffer[0] == quarantinePrefix {
+			if e.quarantine != nil {
+				e.handleQuarantineMessage(time.Now(), buffer[:n], sender)
+			}
+			continue
+		}
 		var message datagram
 		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
 			e.log.Warn("datagram decoding failed", "bytes", n, "error", err.Error())
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/redwingstall/redwingstall/internal/traffic/budget"
 	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
 	"github.com/redwingstall/redwingstall/internal/traffic/pace"
+	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
@@ -58,6 +59,7 @@
 	presence       *presence.Lease
 	leader         *leader.Leader
 	exchange       *peers.Exchange
+	quarantine     *quarantine.Table
 	callers        *callers.Server
 	adminServers   []*http.Server
 	background     sync.WaitGroup
@@ -70,12 +72,13 @@
 // NewGateway creates the components and opens all listeners; Run starts serving.
 func NewGateway(node settings.Node, platform Platform, log *slog.Logger) (*Gateway, error) {
 	g := &Gateway{
-		node:      node,
-		log:       log,
-		metrics:   metrics.NewRegistry(),
-		view:      view.NewView(log, node.Bounds.DiscoveryRecovery),
-		estimator: &placement.Estimator{},
-		done:      make(chan struct{}),
+		node:       node,
+		log:        log,
+		metrics:    metrics.NewRegistry(),
+		view:       view.NewView(log, node.Bounds.DiscoveryRecovery),
+		estimator:  &placement.Estimator{},
+		quarantine: &quarantine.Table{Self: node.Name, Random: rand.Float64},
+		done:       make(chan struct{}),
 	}
 	g.pool = backends.NewPool(platform.Protocol, g.metrics.Count)
 	var err error
@@ -87,6 +90,7 @@
 		Self: node.Name, Table: &serverlimit.Table{}, Instances: g.instances, Transport: g.exchange, Count: g.metrics.Count, Log: log,
 	}
 	g.exchange.ShareLimits(g.limiter)
+	g.exchange.ShareQuarantine(g.quarantine)
 	record, err := view.PeerRecord(g.exchange.Self())
 	if err != nil {
 		return nil, err
@@ -153,6 +157,7 @@
 		Budget:        budget.NewBudget(bounds.RetryRatio, bounds.RetryExtra, bounds.RetryWindow),
 		WarmupLimiter: &pace.Limiter{},
 		ServerLimiter: g.limiter,
+		Quarantine:    g.quarantine,
 		KeyCounter:    g.metrics,
 		Counter:       g.metrics,
 		Log:           g.log,
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -14,6 +14,8 @@
 	number  int
 	request backends.Request
 	began   time.Time
+	// isOnTrial is set if the request may have ended a server before.
+	isOnTrial bool
 	// answer and result are set when the attempt has ended.
 	answer backends.Response
 	result attemptResult
@@ -39,7 +41,7 @@
 	began := time.Now()
 	d.Protocol.SetAttempt(header, c.server.ID, j.deadline.Sub(began))
 	d.Estimator.Begin(began, c.server.ID)
-	return &attempt{choice: c, number: j.attempts, began: began, request: backends.Request{
+	return &attempt{choice: c, number: j.attempts, began: began, isOnTrial: j.isolation.needsTrial, request: backends.Request{
 		Method: j.request.Method, Target: j.request.Target, Host: j.request.Host,
 		Header: header, Body: j.request.Body, HasBody: j.request.HasBody, BodyRest: j.request.BodyRest, BodyLength: j.request.BodyLength, ID: j.meta.ID,
 	}}
@@ -64,6 +66,7 @@
 		IsReplaced: result.isMisdirected && !isKeyed, IsQueueFull: result.isReset && took < queueFullResetTime,
 	})
 	a.answer, a.result = answer, result
+	d.observeEnd(ctx, j, a)
 	d.countAttempt(j, a)
 	if err == nil {
 		d.observeResponse(j, a)
--- a/internal/traffic/dispatch/attempt_result.go
+++ b/internal/traffic/dispatch/attempt_result.go
@@ -29,6 +29,9 @@
 	outcome placement.OutcomeKind
 }
 
+// resultNoAnswer is the name of an attempt that was sent and whose connection broke off.
+const resultNoAnswer = "noAnswer"
+
 // classifyAttempt classifies the response or error of an attempt. A request that was
 // sent counts as not executed only if the server says so.
 func classifyAttempt(answer backends.Response, err error, isCanceled bool, kind redwingstall.RouteKind) attemptResult {
@@ -43,7 +46,7 @@
 	case err != nil && isCanceled:
 		return attemptResult{name: "abandoned", mayHaveRun: true, outcome: placement.Abandoned}
 	case err != nil:
-		return attemptResult{name: "noAnswer", mayHaveRun: true, isReset: errors.Is(err, syscall.ECONNRESET), outcome: placement.Failed}
+		return attemptResult{name: resultNoAnswer, mayHaveRun: true, isReset: errors.Is(err, syscall.ECONNRESET), outcome: placement.Failed}
 	case answer.Meta.NotExecuted && answer.Status == http.StatusMisdirectedRequest:
 		return attemptResult{name: "misdirected", isMisdirected: true}
 	case answer.Status == http.StatusMisdirectedRequest && !answer.Meta.IsSigned:
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/redwingstall/redwingstall/internal/routing/table"
 	"github.com/redwingstall/redwingstall/internal/traffic/budget"
 	"github.com/redwingstall/redwingstall/internal/traffic/pace"
+	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
@@ -55,12 +56,16 @@
 	ReasonUnknown         = "outcomeUnknown"
 	ReasonClientGone      = "clientGone"
 	ReasonStopping        = "stopping"
+	ReasonSuspected       = "suspected"
+	ReasonQuarantined     = "quarantined"
 )
 
 // Backends sends attempts to backend servers and reports the connections to them.
 type Backends interface {
 	Do(ctx context.Context, id, address string, limits backends.Limits, request backends.Request) (backends.Response, error)
 	Connections(id, address string) (open, idle int)
+	// HasEnded reports whether nothing listens at the server's address any more.
+	HasEnded(ctx context.Context, id, address string, limits backends.Limits) bool
 }
 
 // Counter counts events and records latencies.
@@ -87,9 +92,11 @@
 	WarmupLimiter *pace.Limiter
 	// ServerLimiter keeps the limits that servers name for all instances together.
 	ServerLimiter *serverlimit.Limiter
-	KeyCounter    KeyCounter
-	Counter       Counter
-	Log           *slog.Logger
+	// Quarantine keeps requests away that end servers.
+	Quarantine *quarantine.Table
+	KeyCounter KeyCounter
+	Counter    Counter
+	Log        *slog.Logger
 	// WarmupOverrun and WarmupSlack limit the requests per second to a server that
 	// warms up: a factor on the warm-up rate of its service, and an additional
 	// allowance in requests.
@@ -112,6 +119,7 @@
 	Config
 	ownerMisses    ownerMisses
 	clientTimeouts clientTimeouts
+	endChecks      endChecks
 	// backoffs are the servers that want no requests from this instance for a time, and
 	// warmups those that are in warm-up by their own word.
 	backoffs placement.Timers
@@ -153,6 +161,7 @@
 	isHedging bool
 	// permitWait is the time that was spent on permits for servers with a limit.
 	permitWait time.Duration
+	isolation  isolation
 }
 
 // isKeyed reports whether only the owner of its key may run the request.
@@ -223,6 +232,9 @@
 // allowed.
 func (d *Dispatcher) sendUntilFinal(ctx context.Context, j *job) (backends.Response, string) {
 	for {
+		if rejected, isPassed := d.passQuarantine(ctx, j); !isPassed {
+			return d.finalAnswer(ctx, j, rejected)
+		}
 		choice, rejected := d.choose(ctx, j)
 		if choice == nil {
 			d.logRejection(j, rejected)
@@ -232,6 +244,12 @@
 			d.Counter.Count("retries.refused.budget")
 			return d.finalAnswer(ctx, j, rejection{reason: ReasonNotExecuted, retryAfter: choice.estimate.Completion / 2})
 		}
+		if j.isolation.needsTrial && !d.Quarantine.BeginTrial(time.Now(), j.fingerprint(), choice.server.Process()) {
+			if !d.awaitTrial(ctx, j, nil, trialPollInterval) {
+				return d.finalAnswer(ctx, j, rejection{reason: ReasonSuspected, retryAfter: suspectRetryAfter})
+			}
+			continue
+		}
 		answer, isFinal := d.send(ctx, j, choice)
 		if isFinal {
 			return *answer, ReasonServed
@@ -292,7 +310,7 @@
 		return d.routerAnswer(j, http.StatusServiceUnavailable, 0), ReasonClientGone
 	}
 	retryAfter := max(r.retryAfter, minRetryAfter)
-	if r.reason == ReasonServerLimit || r.reason == ReasonServerBackoff {
+	if r.reason == ReasonServerLimit || r.reason == ReasonServerBackoff || r.reason == ReasonQuarantined {
 		// A client that returns earlier is refused again.
 		retryAfter = d.spreadLater(retryAfter)
 	} else {
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -23,6 +23,7 @@
 	"github.com/redwingstall/redwingstall/internal/traffic/budget"
 	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
 	"github.com/redwingstall/redwingstall/internal/traffic/pace"
+	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
 	"github.com/redwingstall/redwingstall/platform"
 )
 
@@ -34,6 +35,14 @@
 	timeouts []time.Duration
 	// exhausted servers have no connection left.
 	exhausted map[string]bool
+	// ended servers refuse connections.
+	ended map[string]bool
+}
+
+func (f *fakeBackends) HasEnded(_ context.Context, id, _ string, _ backends.Limits) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ended[id]
 }
 
 func (f *fakeBackends) Do(ctx context.Context, id, _ string, _ backends.Limits, r backends.Request) (backends.Response, error) {
@@ -139,7 +148,7 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	w.dispatcher = dispatch.NewDispatcher(dispatch.Config{
 		InstanceName: "a", View: w.view, Backends: w.backends, Protocol: platform.Headers{}, Estimator: &placement.Estimator{},
-		Budget: budget.NewBudget(0.2, 56, 10*time.Second), WarmupLimiter: &pace.Limiter{}, ServerLimiter: newLimiter(), KeyCounter: discardCounter{}, Counter: discardCounter{}, Log: log,
+		Budget: budget.NewBudget(0.2, 56, 10*time.Second), WarmupLimiter: &pace.Limiter{}, ServerLimiter: newLimiter(), Quarantine: &quarantine.Table{}, KeyCounter: discardCounter{}, Counter: discardCounter{}, Log: log,
 		WarmupOverrun: 1.5, WarmupSlack: 5, DrainTimeout: time.Second, EvacuateTimeout: 2 * time.Second, Random: random.Float64, StopAt: func() time.Time { return time.Time{} },
 	})
 	return w
--- a/internal/traffic/dispatch/hedge.go
+++ b/internal/traffic/dispatch/hedge.go
@@ -28,7 +28,7 @@
 
 // canHedge reports whether the request may run at another server at the same time.
 func canHedge(j *job) bool {
-	return !j.isKeyed() && j.route.Kind.IsIdempotent() && j.attempts < j.route.MaxAttempts && j.request.BodyRest == nil
+	return !j.isKeyed() && !j.isolation.needsTrial && j.route.Kind.IsIdempotent() && j.attempts < j.route.MaxAttempts && j.request.BodyRest == nil
 }
 
 // sendHedged makes an attempt, and further ones while the servers of all running ones are
--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		quota.choices--
-		if cost := d.cost(j, c); best == nil || cost < bestCost {
+		if cost := d.trialCost(j, c.server, c.estimate.QueueLength, d.cost(j, c)); best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
