Send requests on trial over new connections

Cause: on trial, it was written to an idle connection of a server that a partition had cut off with resets a moment before. That the connection broke off and new ones were refused looked like the end of the server.

Change: an attempt on trial opens a connection, which shows that the server is up and can be reached when the request is sent.

TestNewConnectionIsUsedIfRequired covers the pool.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -139,12 +139,15 @@
 	Open int
 	// Idle is how long a connection may stay idle. Zero leaves it to the server.
 	Idle time.Duration
+	// IsNew requires a new connection, which shows that the server is up and can be reached.
+	// An idle one takes the place of another if all are open.
+	IsNew bool
 }
 
 // Do sends a request to the server with the given id and address, within the limits
 // of its connections. The error is an *[Error].
 func (p *Pool) Do(ctx context.Context, id, address string, limits Limits, request Request) (Response, error) {
-	c, err := p.get(ctx, id, address, limits.Open)
+	c, err := p.get(ctx, id, address, limits)
 	if err != nil {
 		return Response{}, err
 	}
@@ -164,7 +167,7 @@
 	return answer, err
 }
 
-func (p *Pool) get(ctx context.Context, id, address string, limit int) (*connection, error) {
+func (p *Pool) get(ctx context.Context, id, address string, limits Limits) (*connection, error) {
 	key := id + " " + address
 	p.mu.Lock()
 	s := p.servers[key]
@@ -172,10 +175,10 @@
 		s = &server{}
 		p.servers[key] = s
 	}
-	for len(s.idle) > 0 {
+	for len(s.idle) > 0 && (!limits.IsNew || s.open >= limits.Open) {
 		c := s.idle[len(s.idle)-1]
 		s.idle = s.idle[:len(s.idle)-1]
-		if c.isReusable(time.Now()) {
+		if !limits.IsNew && c.isReusable(time.Now()) {
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -183,9 +186,9 @@
 		_ = c.Close()
 		p.count("connections.closed.stale")
 	}
-	if s.open >= limit {
+	if s.open >= limits.Open {
 		p.mu.Unlock()
-		return nil, &Error{Reason: ReasonConnectionLimit, Cause: errors.Newf("%d connections open", limit)}
+		return nil, &Error{Reason: ReasonConnectionLimit, Cause: errors.Newf("%d connections open", limits.Open)}
 	}
 	s.open++
 	p.mu.Unlock()
@@ -202,7 +205,7 @@
 // connection while an idle one is open, and keeps one that it opens. A partition may look the
 // same.
 func (p *Pool) HasEnded(ctx context.Context, id, address string, limits Limits) bool {
-	c, err := p.get(ctx, id, address, limits.Open)
+	c, err := p.get(ctx, id, address, limits)
 	if err != nil {
 		attemptError := &Error{}
 		return errors.As(err, &attemptError) && attemptError.IsRefused
--- a/internal/entry/backends/backends_test.go
+++ b/internal/entry/backends/backends_test.go
@@ -324,3 +324,21 @@
 	open, _ := p.Connections("other", address)
 	require.Zero(t, open)
 }
+
+// Guards against a request on trial that is written to an idle connection which a partition has
+// cut already: it would count as one that ended the server.
+func TestNewConnectionIsUsedIfRequired(t *testing.T) {
+	s := serve(t, func(_ int, r *http.Request, c net.Conn) { reply(c, r.Header.Get("Request-Id"), "") })
+	p := pool()
+	address := s.listener.Addr().String()
+	for n := range 3 {
+		_, err := p.Do(t.Context(), "s", address, backends.Limits{Open: 2, IsNew: true}, request(fmt.Sprint(n)))
+		require.NoError(t, err)
+		require.EqualValues(t, n+1, s.accepted.Load())
+		open, _ := p.Connections("s", address)
+		require.LessOrEqual(t, open, 2)
+	}
+	_, err := do(p, s, "x")
+	require.NoError(t, err)
+	require.EqualValues(t, 3, s.accepted.Load())
+}
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -51,7 +51,9 @@
 // may run concurrently with the job, of which it reads only what does not change.
 func (d *Dispatcher) run(ctx context.Context, j *job, a *attempt) {
 	server := a.choice.server
-	answer, err := d.Backends.Do(ctx, server.ID, server.Address, a.choice.limits, a.request)
+	limits := a.choice.limits
+	limits.IsNew = a.isOnTrial
+	answer, err := d.Backends.Do(ctx, server.ID, server.Address, limits, a.request)
 	took := time.Since(a.began)
 	result := classifyAttempt(answer, err, ctx.Err() != nil, j.route.Kind)
 	open, _ := d.Backends.Connections(server.ID, server.Address)
