Record the response to an activation only if it is whole

Callers of redwingstall serve got the first 4 MB of a longer response to a request with an idempotency key as the whole one, with status 200, and so did each retry.

Evidence: scenario answers with a response of 5 MB: status 200 before.

Change: a body beyond the bound is an error; the request is recorded as run without a response that can be returned (409, answerNotRecorded), also for retries.

The scenario failed before ("status 200").

--- a/pkg/caller/journaled.go
+++ b/pkg/caller/journaled.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 	"github.com/redwingstall/redwingstall/pkg/backend"
 	"github.com/redwingstall/redwingstall/pkg/journal"
 )
@@ -121,7 +121,7 @@
 		r.recordFailedAttempt(entry, attempt, attemptErr)
 		return nil, attemptErr
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, r.common.Settings.Limits.MaxBodyBytes))
+	body, err := http1.ReadBody(response.Body, r.common.Settings.Limits.MaxBodyBytes)
 	_ = response.Body.Close()
 	if err != nil {
 		// The server ran the request, but its response cannot be recovered.
