--- a/internal/wire/http1/clients_test.go
+++ b/internal/wire/http1/clients_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -284,3 +285,22 @@
 	_, err = client.Grant(ctx, "i-1", address, redwingstall.KeyGrant{Fence: 1, TTL: time.Second})
 	require.True(t, errors.Is(err, redwingstall.ErrFenced), "%v", err)
 }
+
+// Guards against the answer of another address, or of another path, that counts as that of the
+// peer.
+func TestRedirectsAreNotFollowed(t *testing.T) {
+	for _, status := range []int{301, 302, 303, 307, 308} {
+		for client, call := range clientCalls {
+			address := listen(t, func(_ int, r *http.Request, c net.Conn) {
+				if r.URL.Path == "/elsewhere" {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+					return
+				}
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 %d Moved\r\nLocation: http://%s/elsewhere\r\nContent-Length: 0\r\n\r\n", status, c.LocalAddr())
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+			require.Error(t, call(ctx, address), "%s, status %d", client, status)
+			cancel()
+		}
+	}
+}
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"net/http"
 
 	"github.com/cockroachdb/errors"
 )
@@ -28,3 +29,7 @@
 	}
 	return content, nil
 }
+
+// NoRedirects makes an http.Client return a redirect as the response. The answer of another
+// address is not that of the peer.
+func NoRedirects(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -46,8 +46,8 @@
 	limit := max(connections/maxConcurrentHomes-2, 1)
 	return &Client{
 		baseURL:            "http://" + address,
-		orderClient:        &http.Client{Transport: newTransport(1, false)},
-		releaseClient:      &http.Client{Transport: newTransport(1, true)},
+		orderClient:        &http.Client{CheckRedirect: http1.NoRedirects, Transport: newTransport(1, false)},
+		releaseClient:      &http.Client{CheckRedirect: http1.NoRedirects, Transport: newTransport(1, true)},
 		keepAliveTransport: newTransport(limit, false),
 		singleUseTransport: newTransport(limit, true),
 	}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -115,8 +115,8 @@
 	}
 	return &Clients{
 		scheme:  scheme,
-		control: &http.Client{Transport: newControlTransport(config)},
-		forward: &http.Client{Transport: newTransport(config), CheckRedirect: disableRedirects},
+		control: &http.Client{CheckRedirect: http1.NoRedirects, Transport: newControlTransport(config)},
+		forward: &http.Client{Transport: newTransport(config), CheckRedirect: http1.NoRedirects},
 		clients: map[string]*Client{},
 	}
 }
@@ -146,11 +146,6 @@
 	return transport
 }
 
-// disableRedirects makes a client return a redirect as the response.
-func disableRedirects(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
-}
-
 // ClientFor returns the client of the peer at an address.
 func (c *Clients) ClientFor(address string) *Client {
 	c.mu.Lock()
