Send requests that end servers in the soak

A client of each soak run repeats, at one instance after the other, a request that ends each server which runs it; more than three ended servers are a violation, with kills, pauses and restarts of instances beside it.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -63,7 +63,11 @@
 func (c *client) sendRequest(ctx context.Context, id, method, path string, key int) (status int) {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout+time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.instance.frontAddress()+path, strings.NewReader("body of "+id))
+	requestBody := "body of " + id
+	if isDeadly(path) {
+		requestBody = "the same each time"
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.instance.frontAddress()+path, strings.NewReader(requestBody))
 	if err != nil {
 		c.soak.ledger.RecordViolation("request could not be created: %v", err)
 		return 0
@@ -84,7 +88,7 @@
 	c.checkLeaving(id, answer.Header, sentAt, generation)
 	switch answer.StatusCode {
 	case http.StatusOK:
-		if want := id + " " + path + " body of " + id; string(body) != want {
+		if want := id + " " + path + " " + requestBody; string(body) != want {
 			c.soak.ledger.RecordViolation("request %s got an unexpected response body %q", id, body)
 		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -81,6 +81,8 @@
 	statuses        map[int]int
 	rejectedIDs     []string
 	serversStarted  int
+	// deadlyEnds counts the servers that ended under a request, by its path.
+	deadlyEnds map[string]int
 }
 
 // backend is a backend server behind a fault-injecting proxy.
@@ -94,7 +96,7 @@
 func Run(config Config) ([]string, error) {
 	s := &Soak{
 		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)),
-		store: platformtest.NewStore(), ledger: platformtest.NewLedger(), statuses: map[int]int{},
+		store: platformtest.NewStore(), ledger: platformtest.NewLedger(), statuses: map[int]int{}, deadlyEnds: map[string]int{},
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
@@ -113,6 +115,7 @@
 	faults.Go(func() { s.makeDemands(config.Duration) })
 	faults.Go(func() { s.disturbOrders(config.Duration) })
 	faults.Go(func() { s.writeOddEntries(config.Duration) })
+	faults.Go(func() { s.sendDeadlyRequests(config.Duration) })
 	if config.RestoresStore {
 		restore, delay := s.drawFault(namedFault{"restoreStore", s.restoreStore}), s.random.Int64N(int64(config.Duration))
 		faults.Go(func() {
@@ -214,6 +217,7 @@
 	s.mu.Unlock()
 	server, err := platformtest.NewServer(s.ledger, platformtest.Server{
 		ID: id, StartedAtMillis: time.Now().UnixMilli(), Service: service, FailureDomain: domain, Sharded: service == "keyed", Slots: 4, Work: 20 * time.Millisecond,
+		EndsUnder: isDeadly, End: s.endServer,
 	})
 	if err != nil {
 		return err
