--- a/internal/wire/http1/clients_test.go
+++ b/internal/wire/http1/clients_test.go
@@ -241,7 +241,7 @@
 		t.Run(name, func(t *testing.T) {
 			answered := map[int]bool{}
 			var mu sync.Mutex
-			address := listen(t, func(connection int, r *http.Request, c net.Conn) {
+			address := listen(t, func(connection int, _ *http.Request, c net.Conn) {
 				mu.Lock()
 				defer mu.Unlock()
 				if answered[connection] {
