Correct instances that do not know of a conviction

Change: an instance asks as soon as it knows another one, each 300 ms in its first second. Who gets a notice with an older version sends back what it knows.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -86,9 +86,10 @@
 
 	// quarantine holds the requests that end servers, if they are shared. sentRecords are the
 	// records of the last message, and quarantineComparedAt is when all were compared.
-	quarantine           *quarantine.Table
-	sentRecords          []quarantine.Record
-	startedAt            time.Time
+	quarantine  *quarantine.Table
+	sentRecords []quarantine.Record
+	// metAt is when the instance first knew another one.
+	metAt                time.Time
 	quarantineComparedAt time.Time
 
 	mu              sync.Mutex
@@ -145,7 +146,6 @@
 		defer close(received)
 		e.receive(ctx)
 	}()
-	e.startedAt = time.Now()
 	lastSums := time.Time{}
 	for ctx.Err() == nil {
 		t := e.topology()
--- a/internal/fleet/peers/quarantine.go
+++ b/internal/fleet/peers/quarantine.go
@@ -90,13 +90,21 @@
 }
 
 // compareQuarantine sends a digest of the records to another instance, as compareServers does.
+// An instance that has just met the others does so at once: it would let requests pass that
+// they reject.
 func (e *Exchange) compareQuarantine(now time.Time, t *topology) {
-	if len(t.near) == 0 || now.Sub(e.quarantineComparedAt) < digestInterval-timerTolerance {
+	if len(t.near) == 0 {
 		return
 	}
+	if e.metAt.IsZero() {
+		e.metAt = now
+	}
+	interval, isNew := digestInterval, now.Sub(e.metAt) < startupTime
+	if isNew {
+		interval = startupDigestInterval
+	}
 	digest := e.quarantine.Digest(now)
-	isStarting := now.Sub(e.startedAt) < 2*digestInterval
-	if digest == 0 && !isStarting {
+	if now.Sub(e.quarantineComparedAt) < interval-timerTolerance || digest == 0 && !isNew {
 		return
 	}
 	e.quarantineComparedAt = now
@@ -128,6 +136,7 @@
 	switch m.Kind {
 	case kindNotice:
 		e.mergeQuarantine(now, m)
+		e.correctNotice(now, m, from)
 		if t.isReporter && t.isFar[m.From] && t.names[sender] == m.From {
 			e.writeDatagram(raw, t.near)
 		}
@@ -152,6 +161,22 @@
 	}
 }
 
+// correctNotice sends the sender of a notice the records that it does not know the latest
+// version of. It may have started since.
+func (e *Exchange) correctNotice(now time.Time, m quarantineMessage, to view.Peer) {
+	newer := []quarantine.Record{}
+	for _, row := range m.Rows {
+		if sent, isValid := row.record(now); isValid {
+			if known, isNewer := e.quarantine.Newer(sent); isNewer {
+				newer = append(newer, known)
+			}
+		}
+	}
+	if len(newer) > 0 {
+		e.sendQuarantineMessage(quarantineMessage{Kind: kindTable, Rows: encodeRecords(now, newer)}, []view.Peer{to})
+	}
+}
+
 // sendQuarantineTable sends all records to an instance.
 func (e *Exchange) sendQuarantineTable(now time.Time, to view.Peer, wantsTable bool) {
 	records := e.quarantine.All(now)
--- a/internal/fleet/peers/quarantine_test.go
+++ b/internal/fleet/peers/quarantine_test.go
@@ -77,3 +77,38 @@
 	require.Equal(t, now, r.ChangedAt)
 	require.Equal(t, now.Add(-maxAge), r.EndedAt)
 }
+
+// Guards against an instance that has started, does not know of a conviction yet, and begins with a
+// suspicion of its own: the others must correct it before it begins a trial.
+func TestInstanceThatMissedAConvictionIsCorrected(t *testing.T) {
+	for _, perDomain := range []int{2, domainMeshLimit + 3} {
+		runFleet(t, 4, perDomain, 3, func(t *testing.T, f *fleet) {
+			time.Sleep(2050 * time.Millisecond)
+			now := time.Now()
+			for _, m := range f.members[1:] {
+				m.table.RecordEnd(now.Add(-time.Second), fingerprint(1), process(1), now.Add(-2*time.Second))
+				m.table.RecordEnd(now, fingerprint(1), process(2), now.Add(-500*time.Millisecond))
+				m.table.TakeChanges() // the first instance hears of none
+			}
+			f.members[0].table.RecordEnd(now, fingerprint(1), process(3), now.Add(-time.Millisecond))
+			synctest.Wait()
+			verdict, _ := f.members[0].table.Judge(now, fingerprint(1))
+			require.Equal(t, quarantine.Reject, verdict)
+		})
+	}
+}
+
+// Guards against an instance that starts, and lets requests pass for a second that all others
+// reject.
+func TestInstanceThatStartsKnowsTheRecordsWithItsFirstExchange(t *testing.T) {
+	runFleet(t, 2, 3, 3, func(t *testing.T, f *fleet) {
+		now := time.Now()
+		for _, m := range f.members[1:] {
+			m.table.RecordEnd(now, fingerprint(1), process(1), now.Add(-time.Second))
+			m.table.TakeChanges()
+		}
+		time.Sleep(2 * minInterval)
+		verdict, _ := f.members[0].table.Judge(time.Now(), fingerprint(1))
+		require.NotEqual(t, quarantine.Admit, verdict)
+	})
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,7 +30,9 @@
 // regressionSeeds and restoreRegressionSeeds list seeds that once failed, each with the
 // cause that was fixed.
 var (
-	regressionSeeds        = []uint64{}
+	regressionSeeds = []uint64{
+		3607, // an instance that had just started let a request pass that all others rejected
+	}
 	restoreRegressionSeeds = []uint64{
 		3,    // keys granted by the owner map of an older copy, with a lower fence
 		3117, // a limit in responses of a server that holds no keys was not read
--- a/internal/traffic/quarantine/table.go
+++ b/internal/traffic/quarantine/table.go
@@ -353,6 +353,14 @@
 	return !isKnown || known.State != r.State
 }
 
+// Newer returns the known record of a request if it is newer than the given one.
+func (t *Table) Newer(than Record) (known Record, isNewer bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, isKnown := t.records[than.Fingerprint]
+	return e.Record, isKnown && e.Version > than.Version
+}
+
 // Wake returns a channel that receives when there are changes to send.
 func (t *Table) Wake() <-chan struct{} {
 	t.mu.Lock()
