--- a/internal/wire/http1/clients_test.go
+++ b/internal/wire/http1/clients_test.go
@@ -304,3 +304,35 @@
 		}
 	}
 }
+
+// Guards against a grant that counts as never sent, and so as not in force, since the question
+// whether its rejection was its own found no connection.
+func TestGrantWithAnUnconfirmedRejectionWasSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		c, err := listener.Accept()
+		_ = listener.Close()
+		if err != nil {
+			return
+		}
+		answers := 0
+		serve(c, 1, func(_ int, _ *http.Request, c net.Conn) {
+			answers++
+			status := "200 OK"
+			if answers > 1 {
+				status = "409 Conflict"
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+		})
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	client, address := platform.NewOwnerClient(), listener.Addr().String()
+	_, err = client.Grant(ctx, "i-1", address, redwingstall.KeyGrant{Fence: 1, TTL: time.Second})
+	require.NoError(t, err)
+	_, err = client.Grant(ctx, "i-1", address, redwingstall.KeyGrant{Fence: 1, TTL: time.Second})
+	require.True(t, errors.Is(err, redwingstall.ErrUnavailable), "%v", err)
+	require.False(t, errors.Is(err, redwingstall.ErrNotSent), "%v", err)
+	require.False(t, errors.Is(err, redwingstall.ErrFenced), "%v", err)
+}
