--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -57,9 +57,9 @@
 	// releaseTimeout bounds one release call, which waits for the requests that run on
 	// the keys.
 	releaseTimeout = 3 * time.Second
-	// maxGrantTTL caps the time to live of grants. An unresponsive server keeps its keys
-	// for that long, and nobody serves them. Less one renewal, it leaves time for the lease
-	// of a leader that crashed to expire, and for the next one to renew the grants.
+	// maxGrantTTL caps the time to live of grants. The keys of a server that crashed are
+	// not served for that long. Less one renewal, it leaves time for the lease of a leader
+	// that crashed to expire, and for the next one to renew the grants.
 	maxGrantTTL = 5 * time.Second
 	// maxOutageGrantTTL is the same for grants that are sent while the store does not
 	// renew the leader's lease. With it, servers keep serving for over eight seconds
--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -48,7 +48,7 @@
 		s.ledger.RecordViolation("%d servers ended under %s", ends, path)
 	}
 	if ended == nil || !s.removeBackend(ended) {
-		return // it takes no more requests than one, but the service needs it
+		return // the service needs the server, which goes on
 	}
 	ended.proxy.close()
 	go func() {
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -25,7 +25,7 @@
 	process *exec.Cmd
 	exited  chan struct{}
 	starts  int
-	// isEnding is set once the process was told to end, or may have been.
+	// isEnding is set once the process got a signal that ends it.
 	isEnding bool
 	// reportEnd is called if the process ends by itself.
 	reportEnd func()
--- a/internal/traffic/quarantine/table.go
+++ b/internal/traffic/quarantine/table.go
@@ -15,19 +15,19 @@
 	// its trial. Servers that end for one cause, such as a loss of power, end within it.
 	settleTime = 50 * time.Millisecond
 	// reporterHeadStart is how long the other instances leave the trial to the one that has
-	// reported the end, and trialSpread over what time they begin theirs. News take a few
-	// milliseconds to all of them.
+	// reported the end, and trialSpread is the time over which they begin theirs. A record
+	// reaches all instances within milliseconds.
 	reporterHeadStart = 20 * time.Millisecond
 	trialSpread       = 200 * time.Millisecond
-	// simultaneousTime is how far apart servers end that end for one cause at once.
+	// simultaneousTime is how far apart servers end that end for one common cause.
 	simultaneousTime = 10 * time.Millisecond
 	// maxEnds is how many servers, one after the other, end under a request until it is
 	// convicted without a trial. Copies of it may have run before it was suspected.
 	maxEnds = 3
-	// maxTrialTime is after what time without a result another trial may begin. The
-	// instance that ran the first one may be gone.
+	// maxTrialTime is the time without a result after which another trial may begin. The
+	// instance that ran the first one may have ended.
 	maxTrialTime = 3 * time.Second
-	// suspicionTime is after what time without a change a suspicion is dropped.
+	// suspicionTime is the time without a change after which a suspicion is dropped.
 	suspicionTime = time.Minute
 	// convictionTime is how long a request is rejected after its first conviction. It
 	// doubles with each further one up to maxConvictionTime. After it the request may run
@@ -127,10 +127,10 @@
 	trials map[shardmap.Server]Fingerprint
 	// changed are the records that the other instances do not know yet.
 	changed map[Fingerprint]bool
-	// wake receives when changed is no longer empty, and news is closed and replaced with
-	// each change.
-	wake chan struct{}
-	news chan struct{}
+	// wake receives when changed is no longer empty, and updated is closed and replaced with
+	// each change of a record.
+	wake    chan struct{}
+	updated chan struct{}
 }
 
 // Verdict is what may be done with a request.
@@ -179,7 +179,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.initialize()
-	return t.news
+	return t.updated
 }
 
 // HasTrial reports whether a server runs a request on trial.
@@ -287,8 +287,8 @@
 	if r.State == OnTrial {
 		t.trials[r.TrialServer] = r.Fingerprint
 	}
-	close(t.news)
-	t.news = make(chan struct{})
+	close(t.updated)
+	t.updated = make(chan struct{})
 }
 
 // trialFrom returns when this instance may begin a trial of a suspected request. All instances
@@ -326,7 +326,7 @@
 	if t.records == nil {
 		t.records, t.changed = map[Fingerprint]entry{}, map[Fingerprint]bool{}
 		t.trials = map[shardmap.Server]Fingerprint{}
-		t.wake, t.news = make(chan struct{}, 1), make(chan struct{})
+		t.wake, t.updated = make(chan struct{}, 1), make(chan struct{})
 	}
 }
 
