--- a/internal/wire/http1/clients_test.go
+++ b/internal/wire/http1/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -110,9 +111,9 @@
 // connection or limit bytes are sent. It returns how many were sent.
 func sendEndless(c net.Conn, start, block string, limit int) int {
 	sent, err := io.WriteString(c, start)
-	for many := strings.Repeat(block, 16<<10/len(block)); err == nil && sent < limit; {
+	for many := bytes.Repeat([]byte(block), 16<<10/len(block)); err == nil && sent < limit; {
 		n := 0
-		n, err = io.WriteString(c, many)
+		n, err = c.Write(many)
 		sent += n
 	}
 	return sent
@@ -194,7 +195,7 @@
 	for name, answer := range map[string]func(c net.Conn){
 		"endlessBody":        endless(head+"\r\n", " "),
 		"endlessLength":      endless(head+"Content-Length: 9000000000\r\n\r\n", " "),
-		"endlessChunks":      endless(head+"Transfer-Encoding: chunked\r\n\r\n", "1\r\n \r\n"),
+		"endlessChunks":      endless(head+"Transfer-Encoding: chunked\r\n\r\n", "40\r\n"+strings.Repeat(" ", 64)+"\r\n"),
 		"endlessChunk":       endless(head+"Transfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n", " "),
 		"endlessSize":        endless(head+"Transfer-Encoding: chunked\r\n\r\n1;x=", "y"),
 		"endlessTrailer":     endless(head+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"),
