Load all records if the changes since one position take too long

Cause: an instance that missed updates asks for the changes since its position, and again from there whenever that takes too long. The more changes, the longer it takes.

Change: after two such answers in a row from one position, all records are loaded page by page. Only timeouts count, while others broadcast changes, so that an outage is handled as before.

TestTooManyLostUpdatesAreFollowedByALoad failed before. A test of http1 sends chunks of 4 KB: 64 MB in chunks of 64 bytes took longer than its time limit under the race detector.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -121,6 +121,9 @@
 	// repairRequestedAt.
 	repairPosition    redwingstall.Position
 	repairRequestedAt time.Time
+	// slowCatchUps counts the catch-ups from slowPosition that took too long.
+	slowPosition redwingstall.Position
+	slowCatchUps int
 	// isFallbackActive is set while the instance watches the store itself because it
 	// receives no updates.
 	isFallbackActive bool
@@ -415,7 +418,7 @@
 func (f *Follower) catchUp(ctx context.Context) error {
 	changes, at, err := f.store.Watch(ctx, "", f.position, catchUpPollTimeout)
 	if err != nil {
-		return err
+		return f.countSlowCatchUp(err)
 	}
 	f.recordConfirmation()
 	f.apply(changes, at.Revision)
@@ -423,6 +426,26 @@
 	return nil
 }
 
+// maxSlowCatchUps is how often in a row the changes since one position may take too long.
+const maxSlowCatchUps = 2
+
+// countSlowCatchUp returns the error of a catch-up, marked with ErrCompacted if the store has
+// not answered in time again: there may be too many changes for one response. All records
+// are loaded then, page by page. Other instances just had an answer from the store.
+func (f *Follower) countSlowCatchUp(err error) error {
+	if !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	if f.slowPosition != f.position {
+		f.slowPosition, f.slowCatchUps = f.position, 0
+	}
+	if f.slowCatchUps++; f.slowCatchUps < maxSlowCatchUps {
+		return err
+	}
+	f.slowCatchUps = 0
+	return errors.Mark(err, redwingstall.ErrCompacted)
+}
+
 // apply applies the changes that are newer than the view. It reports whether any of
 // them concerns something other than a backend server.
 func (f *Follower) apply(changes []redwingstall.Change, at redwingstall.Revision) (isUrgent bool) {
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"slices"
 	"strconv"
@@ -28,6 +29,8 @@
 	calls        int
 	disconnected map[string]bool
 	appended     chan struct{}
+	// maxChanges is how many changes a watch returns in time. Zero means all.
+	maxChanges int
 }
 
 func newFakeStore() *fakeStore {
@@ -90,11 +93,22 @@
 	return list, redwingstall.Position{Era: r.era, Revision: redwingstall.Revision(len(r.history))}, nil
 }
 
+// isTooMuch reports whether the changes since a position are too many for a response in time.
+func (r *storeClient) isTooMuch(after redwingstall.Position) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.maxChanges > 0 && len(r.history)-int(after.Revision) > r.maxChanges
+}
+
 func (r *storeClient) Watch(ctx context.Context, _ string, after redwingstall.Position, wait time.Duration) ([]redwingstall.Change, redwingstall.Position, error) {
 	if r.isDisconnected() {
 		time.Sleep(wait + 700*time.Millisecond)
 		return nil, after, errDisconnected
 	}
+	if r.isTooMuch(after) {
+		time.Sleep(wait + 700*time.Millisecond)
+		return nil, after, errors.Mark(errors.Wrap(context.DeadlineExceeded, "store"), redwingstall.ErrUnavailable)
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -280,6 +294,36 @@
 	})
 }
 
+// Guards against an instance that asks for the changes since one position again and again,
+// which are more than the store returns in time. Found by the soak, beside long entries of
+// another writer.
+func TestTooManyLostUpdatesAreFollowedByALoad(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		f.network.mu.Lock()
+		f.network.isLossy = true
+		f.network.mu.Unlock()
+		f.store.mu.Lock()
+		f.store.maxChanges = 5
+		f.store.disconnected["c1"], f.store.disconnected["c2"] = true, true
+		f.store.mu.Unlock()
+		for n := range 60 {
+			f.store.put(fmt.Sprint("servers/y", n), "ready")
+			time.Sleep(50 * time.Millisecond)
+		}
+		f.store.put("servers/x", "ready")
+		time.Sleep(time.Second)
+		f.store.mu.Lock()
+		clear(f.store.disconnected)
+		f.store.mu.Unlock()
+		f.network.mu.Lock()
+		f.network.isLossy = false
+		f.network.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 6, f.countKnowing("x"))
+		require.Equal(t, 6, f.countKnowing("y30"))
+	})
+}
+
 func TestLostUpdatesAreFetched(t *testing.T) {
 	runFleet(t, func(f *fleet) {
 		f.network.mu.Lock()
--- a/internal/wire/http1/clients_test.go
+++ b/internal/wire/http1/clients_test.go
@@ -195,7 +195,7 @@
 	for name, answer := range map[string]func(c net.Conn){
 		"endlessBody":        endless(head+"\r\n", " "),
 		"endlessLength":      endless(head+"Content-Length: 9000000000\r\n\r\n", " "),
-		"endlessChunks":      endless(head+"Transfer-Encoding: chunked\r\n\r\n", "40\r\n"+strings.Repeat(" ", 64)+"\r\n"),
+		"endlessChunks":      endless(head+"Transfer-Encoding: chunked\r\n\r\n", "1000\r\n"+strings.Repeat(" ", 0x1000)+"\r\n"),
 		"endlessChunk":       endless(head+"Transfer-Encoding: chunked\r\n\r\n7fffffffffffffff\r\n", " "),
 		"endlessSize":        endless(head+"Transfer-Encoding: chunked\r\n\r\n1;x=", "y"),
 		"endlessTrailer":     endless(head+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"),
