--- a/internal/traffic/dispatch/quarantine_test.go
+++ b/internal/traffic/dispatch/quarantine_test.go
@@ -221,7 +221,7 @@
 }
 
 // Guards against a request that ends the servers of a service one after the other, since its
-// clients repeat it at other instances: 21 of 21 servers in one play of the users' day. At most
+// clients repeat it at other instances: 21 servers in one play of the users' day. At most
 // three may end, and those who ran beside it must be served.
 func TestRequestThatEndsServersIsKeptFromThem(t *testing.T) {
 	for _, path := range []string{"/safe/", "/unsafe/", "/download/"} {
