--- a/review/common2/client.go
+++ b/review/common2/client.go
@@ -31,7 +31,9 @@
 	Body   []byte
 	// IsLast is set if the answer announces the end of its connection.
 	IsLast bool
-	Err    error
+	// WasKept is set if the connection had served a request before.
+	WasKept bool
+	Err     error
 }
 
 // client holds kept connections to one process, each for one request at a time.
@@ -97,6 +99,7 @@
 	written := make(chan error, 1)
 	go func() { written <- r.write(connection) }()
 	got := readAnswer(connection.reader, r.Method)
+	got.WasKept = !connection.usedAt.IsZero()
 	isKept := got.Err == nil && !got.IsLast
 	if isKept {
 		select {
--- a/review/common2/main.go
+++ b/review/common2/main.go
@@ -21,6 +21,7 @@
 
 var cases = map[string]func(s *scene) (isBroken bool, err error){
 	"repeated-answer": playRepeatedAnswer,
+	"endless-body":    playEndlessBody,
 }
 
 func main() {
