Never send two attempts at a request on one connection

Cause: a server sends a refusal once more, late. All attempts at a request have its id, and the pool reused the connection of the refused attempt for the next one, at the owner of a key. The copy passed for its response.

Evidence: attempts are now logged with their connection.

Change: each connection keeps the ids that it carried, and the pool selects one that has not carried the request, or opens one. A copy can only arrive where its original did, so that a response with the request's id is that to this attempt. Connections end after 1,024 requests, which bounds the ids.

TestStreamedBodies sent two uploads with one id and expected one connection; it now sends two requests with different ids, and is as strict.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -9,8 +9,10 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -78,6 +80,17 @@
 	Header http.Header
 	Body   []byte
 	Meta   redwingstall.ResponseMeta
+	Trace  Trace
+}
+
+// Trace tells attempts of the same request apart in logs.
+type Trace struct {
+	// Connection numbers the connections of a pool from 1 on. It is 0 if there was none.
+	Connection int64
+	// EarlierRequests is the number of requests that the connection carried before.
+	EarlierRequests int
+	// StrayAnswers is the number of responses to other requests that were skipped.
+	StrayAnswers int
 }
 
 // Error is the failure of an attempt that got no response.
@@ -89,6 +102,7 @@
 	IsRefused bool
 	Reason    string
 	Cause     error
+	Trace     Trace
 }
 
 // Error returns the reason and the cause.
@@ -106,6 +120,9 @@
 	protocol redwingstall.GatewayProtocol
 	count    func(name string)
 
+	// opened is the number of connections that were opened.
+	opened atomic.Int64
+
 	mu      sync.Mutex
 	servers map[string]*server
 }
@@ -119,8 +136,10 @@
 	net.Conn
 	reader *bufio.Reader
 	// limit bounds the bytes of the response that is read.
-	limit *limitedReader
-	key   string
+	limit   *limitedReader
+	key     string
+	history history
+	trace   Trace
 	// idleSince and idleFor limit the time in which the connection may be reused.
 	idleSince time.Time
 	idleFor   time.Duration
@@ -145,15 +164,23 @@
 }
 
 // Do sends a request to the server with the given id and address, within the limits
-// of its connections. The error is an *[Error].
+// of its connections, on one that carried no other attempt at the request. The error is
+// an *[Error].
 func (p *Pool) Do(ctx context.Context, id, address string, limits Limits, request Request) (Response, error) {
-	c, err := p.get(ctx, id, address, limits)
+	hash := hashID(request.ID)
+	c, err := p.get(ctx, id, address, limits, hash)
 	if err != nil {
 		return Response{}, err
 	}
+	c.history.add(hash)
 	c.idleLimit = limits.Idle
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	answer, reusable, err := p.exchange(c, request)
+	answer.Trace = c.trace
+	if attemptError := (&Error{}); errors.As(err, &attemptError) {
+		attemptError.Trace = c.trace
+	}
+	c.trace.EarlierRequests++
 	switch {
 	case !stop():
 		p.drop(c, "canceled")
@@ -161,13 +188,16 @@
 		p.drop(c, "failed")
 	case !reusable:
 		p.drop(c, "notReusable")
+	case c.history.isFull():
+		p.drop(c, "requestLimit")
 	default:
 		p.put(c)
 	}
 	return answer, err
 }
 
-func (p *Pool) get(ctx context.Context, id, address string, limits Limits) (*connection, error) {
+// get returns a connection that has not carried the request.
+func (p *Pool) get(ctx context.Context, id, address string, limits Limits, request idHash) (*connection, error) {
 	key := id + " " + address
 	p.mu.Lock()
 	s := p.servers[key]
@@ -175,16 +205,14 @@
 		s = &server{}
 		p.servers[key] = s
 	}
-	for len(s.idle) > 0 && (!limits.IsNew || s.open >= limits.Open) {
-		c := s.idle[len(s.idle)-1]
-		s.idle = s.idle[:len(s.idle)-1]
-		if !limits.IsNew && c.isReusable(time.Now()) {
+	if !limits.IsNew {
+		if c := p.takeIdle(s, request); c != nil {
 			p.mu.Unlock()
 			return c, nil
 		}
-		s.open--
-		_ = c.Close()
-		p.count("connections.closed.stale")
+	}
+	for len(s.idle) > 0 && s.open >= limits.Open {
+		p.closeIdle(s, len(s.idle)-1, "replaced")
 	}
 	if s.open >= limits.Open {
 		p.mu.Unlock()
@@ -197,15 +225,44 @@
 		p.mu.Lock()
 		s.open--
 		p.mu.Unlock()
+		return nil, err
 	}
-	return c, err
+	return c, nil
+}
+
+// takeIdle returns the connection that was used last, of those that may carry the request. It
+// closes those that cannot be reused. The caller holds the lock.
+func (p *Pool) takeIdle(s *server, request idHash) *connection {
+	now := time.Now()
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		c := s.idle[i]
+		if c.history.contains(request) {
+			p.count("connections.skipped")
+			continue
+		}
+		if !c.isReusable(now) {
+			p.closeIdle(s, i, "stale")
+			continue
+		}
+		s.idle = slices.Delete(s.idle, i, i+1)
+		return c
+	}
+	return nil
+}
+
+// closeIdle closes an idle connection. The caller holds the lock.
+func (p *Pool) closeIdle(s *server, i int, reason string) {
+	_ = s.idle[i].Close()
+	s.idle = slices.Delete(s.idle, i, i+1)
+	s.open--
+	p.count("connections.closed." + reason)
 }
 
 // HasEnded reports whether nothing listens at a server's address any more. It needs no new
 // connection while an idle one is open, and keeps one that it opens. A partition may look the
 // same.
 func (p *Pool) HasEnded(ctx context.Context, id, address string, limits Limits) bool {
-	c, err := p.get(ctx, id, address, limits)
+	c, err := p.get(ctx, id, address, limits, hashID(""))
 	if err != nil {
 		attemptError := &Error{}
 		return errors.As(err, &attemptError) && attemptError.IsRefused
@@ -228,7 +285,7 @@
 	}
 	p.count("connections.opened")
 	limited := &limitedReader{source: raw}
-	return &connection{Conn: raw, limit: limited, reader: bufio.NewReader(limited), key: key}, nil
+	return &connection{Conn: raw, limit: limited, reader: bufio.NewReader(limited), key: key, trace: Trace{Connection: p.opened.Add(1)}}, nil
 }
 
 // isReusable reports whether an idle connection is open and has no unread bytes,
@@ -350,6 +407,8 @@
 		if answer.Meta.ID == request.ID {
 			return answer, hasEnd && stray == 0 && c.reader.Buffered() == 0, nil
 		}
+		c.trace.StrayAnswers++
+		p.count("answers.stray")
 		if stray == maxStrayAnswers || !hasEnd {
 			return Response{}, false, errors.Newf("response to request %q", answer.Meta.ID)
 		}
--- a/internal/entry/backends/body_test.go
+++ b/internal/entry/backends/body_test.go
@@ -41,8 +41,8 @@
 			reply(c, r.Header.Get("Request-Id"), fmt.Sprint(len(body), string(body[:4]), string(body[len(body)-1:]), err, r.ContentLength))
 		})
 		p := pool()
-		for range 2 {
-			r := upload("a", "abc", strings.NewReader(strings.Repeat("d", 999_999)+"z"), length)
+		for _, id := range []string{"a", "b"} {
+			r := upload(id, "abc", strings.NewReader(strings.Repeat("d", 999_999)+"z"), length)
 			answer, err := p.Do(t.Context(), "s", s.listener.Addr().String(), backends.Limits{Open: 1}, r)
 			require.NoError(t, err)
 			require.Equal(t, fmt.Sprint(1_000_003, "abcd", "z", nil, length), string(answer.Body))
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 )
@@ -76,10 +78,15 @@
 	if result.outcome == placement.Abandoned {
 		d.logAbandoned(ctx, j, server.ID)
 	}
-	if result.name != "success" {
+	if result.name != "success" || a.number > 1 {
+		trace := answer.Trace
+		if attemptError := (&backends.Error{}); errors.As(err, &attemptError) {
+			trace = attemptError.Trace
+		}
 		d.Log.Info("attempt", "id", j.meta.ID, "route", j.route.Name, "server", server.ID, "attempt", a.number,
 			"outcome", result.name, "status", answer.Status, "tookMillis", took.Milliseconds(), "queue", a.choice.estimate.QueueLength,
-			"expectedMillis", a.choice.estimate.Completion.Milliseconds(), "view", a.choice.viewAge, "error", errorText(err))
+			"expectedMillis", a.choice.estimate.Completion.Milliseconds(), "view", a.choice.viewAge,
+			"connection", trace.Connection, "earlierRequests", trace.EarlierRequests, "strayAnswers", trace.StrayAnswers, "error", errorText(err))
 	}
 }
 
