Send repeated attempts of redwingstall serve on connections of their own

Callers saw: a keyed POST that ran twice, or "notRun" for one that had run.

All attempts at a request have its id, and the keep-alive transport of net/http may reuse the connection of the refused one, on which the server sends the refusal once more.

Evidence: with the stand-in's new fault copyRefusals the real program ran each of two requests twice (scenario answers, the line of the fix taken out).

Change: the ids that were sent on kept connections are remembered; a repeated attempt uses a new connection. After 4,096 ids the connections are replaced, which bounds the memory.

backend.TestCopyOfRefusalIsNotTheResponseToTheNextAttempt (both cases) and the scenario failed before.

--- a/pkg/backend/attempt.go
+++ b/pkg/backend/attempt.go
@@ -86,9 +86,9 @@
 	if err != nil {
 		return nil, &AttemptError{Outcome: redwingstall.OutcomeNotRun, Reason: "badRequest", Cause: err}
 	}
-	transport := c.keepAliveTransport
-	if request.AtMostOnce {
-		transport = c.singleUseTransport
+	transport := c.singleUseTransport
+	if !request.AtMostOnce {
+		transport = c.keepAlive.transportFor(request.ID)
 	}
 	response, err := transport.RoundTrip(outgoing)
 	if err != nil {
--- a/pkg/backend/attempt_test.go
+++ b/pkg/backend/attempt_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -192,6 +194,7 @@
 	require.NoError(t, err)
 	_, _ = io.Copy(io.Discard, first.Body)
 	require.NoError(t, first.Body.Close())
+	request.ID = "r2" // one with the same id would not reuse the connection
 	_, err = client.Do(t.Context(), request)
 	require.Error(t, err)
 	require.Len(t, requests, 2, "two calls send exactly two requests")
@@ -274,3 +277,78 @@
 		client.Close()
 	}
 }
+
+// Guards against review/6 in redwingstall serve: all attempts at a request have the same id, so
+// that a second copy of the refusal of one counted as the response to the next, which ran.
+func TestCopyOfRefusalIsNotTheResponseToTheNextAttempt(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Unavailable\r\nRequest-Id: r1\r\nRedwing-Refusal: notOwner\r\nContent-Length: 0\r\n\r\n"
+	for name, between := range map[string]string{"next": "", "behindAnother": "r2"} {
+		t.Run(name, func(t *testing.T) {
+			var refused atomic.Bool
+			server := newRawServer(t, func(conn net.Conn, run func()) {
+				reader := bufio.NewReader(conn)
+				for owed := ""; ; {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					id := request.Header.Get(redwingstall.HeaderRequestID)
+					if id == "r1" && !refused.Swap(true) {
+						owed = refusal
+						_, _ = io.WriteString(conn, refusal)
+						continue
+					}
+					if id == "r1" {
+						run()
+						_, _ = io.WriteString(conn, owed)
+					}
+					_, _ = io.WriteString(conn, okResponse(id, "Content-Length: 0\r\n\r\n"))
+				}
+			})
+			client := backend.NewClient(server.listener.Addr().String(), 10)
+			defer client.Close()
+			send := func(id string) error {
+				request := chargeRequest(id)
+				request.AtMostOnce = false
+				response, err := client.Do(t.Context(), request)
+				if err == nil {
+					require.NoError(t, response.Body.Close())
+				}
+				return err
+			}
+			require.Error(t, send("r1"))
+			if between != "" {
+				require.NoError(t, send(between))
+			}
+			require.NoError(t, send("r1"), "the server did not refuse this attempt")
+			require.Equal(t, 1, server.runCount())
+		})
+	}
+}
+
+// Guards against ids that are kept without a bound, and against connections that carry more
+// requests than their ids are kept for.
+func TestConnectionsCarryABoundedNumberOfRequests(t *testing.T) {
+	var connections atomic.Int32
+	server := newRawServer(t, func(conn net.Conn, run func()) {
+		connections.Add(1)
+		reader := bufio.NewReader(conn)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			run()
+			_, _ = io.WriteString(conn, okResponse(request.Header.Get(redwingstall.HeaderRequestID), "Content-Length: 0\r\n\r\n"))
+		}
+	})
+	client := backend.NewClient(server.listener.Addr().String(), 10)
+	defer client.Close()
+	for n := range 4097 {
+		response, err := client.Do(t.Context(), backend.Request{Method: http.MethodGet, Path: "/x", Header: http.Header{}, ID: strconv.Itoa(n)})
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+	}
+	require.EqualValues(t, 2, connections.Load())
+}
--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -23,7 +23,7 @@
 	// releaseClient uses a new connection for each release: a response to an order has no
 	// id, and one to an earlier order that comes late must not prove the release.
 	releaseClient      *http.Client
-	keepAliveTransport *http.Transport
+	keepAlive          *keepAlive
 	singleUseTransport *http.Transport
 }
 
@@ -41,15 +41,17 @@
 
 // NewClient returns a client of the server at an address. The client opens at most
 // half of the connections that the server accepts, two of them for orders, so that
-// two home instances can be connected during a handover.
+// two home instances can be connected during a handover. Repeated attempts, which are few
+// and each close their connection, may exceed this.
 func NewClient(address string, connections int) *Client {
 	limit := max(connections/maxConcurrentHomes-2, 1)
+	singleUse := newTransport(limit, true)
 	return &Client{
 		baseURL:            "http://" + address,
 		orderClient:        &http.Client{CheckRedirect: http1.NoRedirects, Transport: newTransport(1, false)},
 		releaseClient:      &http.Client{CheckRedirect: http1.NoRedirects, Transport: newTransport(1, true)},
-		keepAliveTransport: newTransport(limit, false),
-		singleUseTransport: newTransport(limit, true),
+		keepAlive:          newKeepAlive(limit, singleUse),
+		singleUseTransport: singleUse,
 	}
 }
 
@@ -68,10 +70,13 @@
 // Close closes the idle connections. Connections in use are not affected.
 func (c *Client) Close() {
 	c.orderClient.CloseIdleConnections()
-	c.keepAliveTransport.CloseIdleConnections()
+	c.keepAlive.closeIdleConnections()
 	c.singleUseTransport.CloseIdleConnections()
 }
 
+// CloseIdleOrders closes the idle connections for orders.
+func (c *Client) CloseIdleOrders() { c.orderClient.CloseIdleConnections() }
+
 // Grant sends an order that issues or extends grants.
 func (c *Client) Grant(ctx context.Context, order redwingstall.GrantOrder) (redwingstall.OrderResponse, error) {
 	return sendOrder(ctx, c, c.orderClient, "grant", order)
--- a/pkg/standin/backend.go
+++ b/pkg/standin/backend.go
@@ -53,6 +53,9 @@
 	// request is executed.
 	ResetBefore bool `json:"resetBefore"`
 	ResetAfter  bool `json:"resetAfter"`
+	// CopyRefusals refuses the first attempt at each request, and sends the refusal once more
+	// as the next request arrives on its connection.
+	CopyRefusals bool `json:"copyRefusals"`
 	// Tag is appended to the entity tag of downloads, as if their content had changed.
 	Tag string `json:"tag"`
 }
@@ -97,6 +100,7 @@
 	stats           BackendStats
 	executions      []Execution
 	openConnections int
+	copies          copies
 }
 
 // NewBackend returns a cold backend server.
@@ -253,6 +257,11 @@
 		return
 	}
 	refusal, faults := b.admit(r)
+	if refusal == "" && faults.CopyRefusals {
+		defer b.finish(r)
+		b.serveWithCopies(w, r)
+		return
+	}
 	w.Header().Set(redwingstall.HeaderRequestID, r.Header.Get(redwingstall.HeaderRequestID))
 	w.Header().Set(redwingstall.HeaderServer, b.config.Name)
 	if refusal != "" {
