Take no response to an earlier order of redwingstall serve for a heartbeat

What could happen: a server sends the response to a status or a grant order once more, late. It counted as the response to the next order: the server seemed up, and slots of requests that still ran there were free, so that it got more than its limit. Found by reading; no caller reported it.

Cause: these orders have no id, and their connections are kept.

Change: a response whose clock is not later than the last one of the same process is a copy: the heartbeat counts as missed, and the connection is closed, since its next response would be late too.

TestIssuerRecognizesCopiesOfResponses did not compile before (no such decision). The effect was not shown with the real program.

--- a/pkg/grant/grant_test.go
+++ b/pkg/grant/grant_test.go
@@ -62,3 +62,16 @@
 	_, isIssued = issuer.BuildOrder("s", read.Add(time.Second+time.Millisecond), grants)
 	require.False(t, isIssued)
 }
+
+// Guards against the response to an earlier order, sent once more, that shows a server as up and
+// frees slots of requests which still run there.
+func TestIssuerRecognizesCopiesOfResponses(t *testing.T) {
+	issuer := grant.NewIssuer(time.Second)
+	first := redwingstall.OrderResponse{Boot: "b1", Clock: time.Hour}
+	require.False(t, issuer.IsCopy(first))
+	issuer.Observe(time.Unix(100, 0), first)
+	require.True(t, issuer.IsCopy(first))
+	require.True(t, issuer.IsCopy(redwingstall.OrderResponse{Boot: "b1", Clock: time.Hour - 1}))
+	require.False(t, issuer.IsCopy(redwingstall.OrderResponse{Boot: "b1", Clock: time.Hour + 1}))
+	require.False(t, issuer.IsCopy(redwingstall.OrderResponse{Boot: "b2", Clock: time.Minute}), "another process")
+}
--- a/pkg/grant/issuer.go
+++ b/pkg/grant/issuer.go
@@ -50,6 +50,12 @@
 	return isNewBoot
 }
 
+// IsCopy reports whether a response is no later than the last one of the server's process. The
+// server has sent it once more; it shows neither that the server is up nor what runs there.
+func (i *Issuer) IsCopy(answer redwingstall.OrderResponse) bool {
+	return i.boot != "" && answer.Boot == i.boot && answer.Clock <= i.clock
+}
+
 // BuildOrder returns the order that extends grants confirmed by a voting round that
 // started at confirmedAt. It returns false if no safe order exists:
 //   - The server's clock is unknown, or there are no grants.
--- a/pkg/home/server.go
+++ b/pkg/home/server.go
@@ -48,6 +48,16 @@
 // heartbeats.
 var errServerLost = errors.New("home: backend server does not answer heartbeats")
 
+// errCopiedResponse is the error of a heartbeat that got the response to an earlier one.
+var errCopiedResponse = errors.New("home: response to an earlier order")
+
+// isCopy reports whether a response to a heartbeat is that to an earlier one.
+func (s *server) isCopy(response redwingstall.OrderResponse) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.issuer.IsCopy(response)
+}
+
 // cancelOnLoss returns a context that also ends when the server is declared lost.
 // An attempt that is blocked at the server can then be retried at another one,
 // where that is safe.
@@ -137,6 +147,12 @@
 		return false
 	}
 	now := p.manager.common.Clock.Now()
+	if err == nil && s.isCopy(response) {
+		// The next response on the connection may be the one to this order.
+		p.manager.common.Count("orders.copies")
+		s.client.CloseIdleOrders()
+		err = errCopiedResponse
+	}
 	if err != nil {
 		p.recordMissedHeartbeat(s, now)
 		return false
