Bound the sum of what an instance holds for servers and clients

Cause: each response was bounded by 8 MB, their sum by nothing; nor were long heads of responses, headers of pipelined requests, and responses that clients do not read. io.ReadAll and the write of the response copied each body.

Change: memory.Budget divides a quarter of the memory among the servers whose responses are read or not yet written. The server with the fewest bytes comes first, and the latest unfinished response of the one with most is cut off for it, so that servers in trouble do not take the room of sound ones, and long responses come through. Waits end with the request. Long headers of requests and connections count against the bound that bodies have. A slow reader is cut off while others wait. The runtime collects garbage more often above four fifths of the memory.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/entry/memory"
 	"github.com/redwingstall/redwingstall/internal/wire/http1"
 )
 
@@ -81,6 +82,21 @@
 	Body   []byte
 	Meta   redwingstall.ResponseMeta
 	Trace  Trace
+	// held is the memory that is reserved for the response.
+	held []*memory.Reservation
+}
+
+// Release ends the reservation of the memory that the response takes. Each response is released
+// once it is written or discarded.
+func (r *Response) Release() {
+	for _, reserved := range r.held {
+		reserved.Release()
+	}
+}
+
+// IsSame reports whether two values hold the same response of a server.
+func (r *Response) IsSame(other Response) bool {
+	return r.Trace == other.Trace && r.Trace.Connection != 0
 }
 
 // Trace tells attempts of the same request apart in logs.
@@ -111,14 +127,24 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
-// ReasonConnectionLimit is the reason of an attempt that exceeded the connection limit.
-const ReasonConnectionLimit = "connectionLimit"
+// Reasons of attempts that failed by a limit of this instance or of the response.
+const (
+	// ReasonConnectionLimit is the reason of an attempt that exceeded the connection limit.
+	ReasonConnectionLimit = "connectionLimit"
+	// ReasonNoMemory is the reason of an attempt whose response waited for memory until its end,
+	// and ReasonMemoryRevoked that of one whose memory was given to other servers' responses.
+	ReasonNoMemory      = "noMemory"
+	ReasonMemoryRevoked = "memoryRevoked"
+	// ReasonEndless is the reason of an attempt with a response that exceeds its bound.
+	ReasonEndless = "endless"
+)
 
 // Pool holds the connections to all backend servers. It is safe for concurrent
 // use.
 type Pool struct {
 	protocol redwingstall.GatewayProtocol
 	count    func(name string)
+	memory   responseMemory
 
 	// opened is the number of connections that were opened.
 	opened atomic.Int64
@@ -146,12 +172,16 @@
 	idleLimit time.Duration
 }
 
-// NewPool returns an empty pool. The pool calls count with the name of a counter when
-// it opens a connection and when it closes one. The name contains the reason for closing.
-func NewPool(protocol redwingstall.GatewayProtocol, count func(name string)) *Pool {
-	return &Pool{protocol: protocol, count: count, servers: map[string]*server{}}
+// NewPool returns an empty pool whose responses take at most about maxBuffered bytes in all. The
+// pool calls count with the name of a counter when it opens a connection and when it closes one.
+// The name contains the reason for closing.
+func NewPool(protocol redwingstall.GatewayProtocol, maxBuffered int64, count func(name string)) *Pool {
+	return &Pool{protocol: protocol, count: count, memory: newResponseMemory(maxBuffered), servers: map[string]*server{}}
 }
 
+// IsShortOfMemory reports whether responses wait for memory.
+func (p *Pool) IsShortOfMemory() bool { return p.memory.small.IsShort() || p.memory.large.IsShort() }
+
 // Limits bounds the connections of this instance to one server.
 type Limits struct {
 	// Open is the maximum number of open connections.
@@ -163,6 +193,9 @@
 	IsNew bool
 }
 
+// HeldBytes returns the memory that is reserved for responses, in bytes.
+func (p *Pool) HeldBytes() int64 { return p.memory.small.Used() + p.memory.large.Used() }
+
 // Do sends a request to the server with the given id and address, within the limits
 // of its connections, on one that carried no other attempt at the request. The error is
 // an *[Error].
@@ -174,8 +207,10 @@
 	}
 	c.history.add(hash)
 	c.idleLimit = limits.Idle
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	answer, reusable, err := p.exchange(c, request)
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(attempt, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	answer, reusable, err := p.exchange(reading{attempt, c.key, cancel}, c, request)
 	answer.Trace = c.trace
 	if attemptError := (&Error{}); errors.As(err, &attemptError) {
 		attemptError.Trace = c.trace
@@ -368,7 +403,7 @@
 
 // exchange writes the request and reads the complete response. It reports whether
 // the connection can be reused.
-func (p *Pool) exchange(c *connection, request Request) (Response, bool, error) {
+func (p *Pool) exchange(ctx reading, c *connection, request Request) (Response, bool, error) {
 	written := make(chan error, 1)
 	if request.BodyRest == nil && len(request.Body) <= maxInlineBody {
 		n, err := c.Write(append(encodeHead(request), request.Body...))
@@ -379,9 +414,9 @@
 	} else {
 		go func() { written <- writeRequest(c, request) }()
 	}
-	answer, reusable, err := p.readMatching(c, request)
+	answer, reusable, err := p.readMatching(ctx, c, request)
 	if err != nil {
-		return Response{}, false, &Error{IsSent: true, Reason: "answer", Cause: err}
+		return Response{}, false, p.readError(ctx, c, err)
 	}
 	select {
 	case err := <-written:
@@ -393,20 +428,36 @@
 	}
 }
 
+// readError returns the error of an attempt whose response could not be read.
+func (p *Pool) readError(ctx reading, c *connection, cause error) *Error {
+	failed := &Error{IsSent: true, Reason: "answer", Cause: cause}
+	switch {
+	case ctx.isRevoked():
+		failed.Reason = ReasonMemoryRevoked
+	case errors.Is(cause, errNoMemory):
+		failed.Reason = ReasonNoMemory
+	case errors.Is(cause, errTooLong), errors.Is(cause, http1.ErrTooLong):
+		failed.Reason = ReasonEndless
+		p.memory.suspect(c.key, time.Now())
+	}
+	return failed
+}
+
 // maxStrayAnswers bounds how many responses to other requests are skipped.
 const maxStrayAnswers = 2
 
 // readMatching reads responses until one carries the id of the request. A connection
 // with a response to another request is not reused.
-func (p *Pool) readMatching(c *connection, request Request) (Response, bool, error) {
+func (p *Pool) readMatching(ctx reading, c *connection, request Request) (Response, bool, error) {
 	for stray := 0; ; stray++ {
-		answer, hasEnd, err := p.read(c, request)
+		answer, hasEnd, err := p.read(ctx, c, request)
 		if err != nil {
 			return Response{}, false, err
 		}
 		if answer.Meta.ID == request.ID {
 			return answer, hasEnd && stray == 0 && c.reader.Buffered() == 0, nil
 		}
+		answer.Release()
 		c.trace.StrayAnswers++
 		p.count("answers.stray")
 		if stray == maxStrayAnswers || !hasEnd {
@@ -416,22 +467,33 @@
 }
 
 // read reads one response. It reports whether the connection continues after it.
-func (p *Pool) read(c *connection, request Request) (answerRead Response, hasEnd bool, err error) {
-	answer, err := readHead(c, request.Method)
+func (p *Pool) read(ctx reading, c *connection, request Request) (answerRead Response, hasEnd bool, err error) {
+	var head *memory.Reservation
+	answer, err := readHead(c, request.Method, func() (err error) {
+		head, err = reserve(ctx, p.memory.small, longHeadMemory)
+		return err
+	})
 	if err != nil {
+		head.Release()
 		return Response{}, false, err
 	}
 	c.limit.allow(maxAnswerBytes + maxFramingBytes)
-	body, err := http1.ReadBody(answer.Body, maxAnswerBytes)
-	_ = answer.Body.Close()
+	body, held, err := p.memory.readBody(ctx, answer)
 	if err != nil {
+		// Closing the body would read on.
+		head.Release()
 		return Response{}, false, err
 	}
+	_ = answer.Body.Close()
+	head.Keep(longHeadMemory)
 	isDelimited := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0 || request.Method == http.MethodHead
 	c.idleFor = idleTime(answer.Header)
 	hasEnd = isDelimited && !answer.Close
 	removeHopHeaders(answer.Header)
-	return Response{Status: answer.StatusCode, Header: answer.Header, Body: body, Meta: p.protocol.ParseResponse(answer.Header)}, hasEnd, nil
+	return Response{
+		Status: answer.StatusCode, Header: answer.Header, Body: body, Meta: p.protocol.ParseResponse(answer.Header),
+		held: []*memory.Reservation{head, held},
+	}, hasEnd, nil
 }
 
 // idleTime returns the server's idle timeout less a margin.
--- a/internal/entry/backends/backends_test.go
+++ b/internal/entry/backends/backends_test.go
@@ -54,7 +54,7 @@
 	return s
 }
 
-func pool() *backends.Pool { return backends.NewPool(platform.Headers{}, func(string) {}) }
+func pool() *backends.Pool { return backends.NewPool(platform.Headers{}, 64<<20, func(string) {}) }
 
 func request(id string) backends.Request {
 	return backends.Request{Method: "GET", Target: "/x?y=%20", Host: "h", Header: http.Header{"Request-Id": {id}}, ID: id}
--- a/internal/entry/backends/limit.go
+++ b/internal/entry/backends/limit.go
@@ -14,24 +14,37 @@
 type limitedReader struct {
 	source io.Reader
 	left   int64
+	// free is how many bytes may be read before reserve is called once, which returns an error
+	// if no more may be read. It is not called if it is nil.
+	free    int64
+	reserve func() error
 }
 
 // allow sets the number of bytes that may still be read.
-func (r *limitedReader) allow(bytes int64) { r.left = bytes }
+func (r *limitedReader) allow(bytes int64) { r.left, r.reserve = bytes, nil }
 
 // Read returns errTooLong once the allowed bytes are read.
 func (r *limitedReader) Read(p []byte) (int, error) {
 	if r.left <= 0 {
 		return 0, errTooLong
 	}
+	if r.reserve != nil && r.free <= 0 {
+		if err := r.reserve(); err != nil {
+			return 0, err
+		}
+		r.reserve = nil
+	}
 	n, err := r.source.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
+	r.free -= int64(n)
 	return n, err
 }
 
-// readHead reads the head of a response, and skips the informational ones before it.
-func readHead(c *connection, method string) (*http.Response, error) {
+// readHead reads the head of a response, and skips the informational ones before it. It calls
+// reserve before it reads a long head.
+func readHead(c *connection, method string, reserve func() error) (*http.Response, error) {
 	c.limit.allow(maxHeadBytes)
+	c.limit.free, c.limit.reserve = freeHeadBytes, reserve
 	for {
 		answer, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || answer.StatusCode >= http.StatusOK {
--- a/internal/entry/callers/body.go
+++ b/internal/entry/callers/body.go
@@ -27,7 +27,7 @@
 	reserve(bytes int64) bool
 }
 
-var errNoMemory = &statusError{http.StatusServiceUnavailable, "memory limit of request bodies reached"}
+var errNoMemory = &statusError{http.StatusServiceUnavailable, "memory limit of requests reached"}
 
 // requestBody is the body of a request.
 type requestBody struct {
--- a/internal/entry/callers/connection.go
+++ b/internal/entry/callers/connection.go
@@ -23,6 +23,10 @@
 	pipelineDepth = 16
 	// writeTimeout bounds the time to write one response to a slow client.
 	writeTimeout = 20 * time.Second
+	// slowWriteTime is the time after which a client counts as slow to read its response.
+	slowWriteTime = 2 * time.Second
+	// maxCopiedBody is the size in bytes up to which a body is written in one piece with its head.
+	maxCopiedBody = 16 << 10
 	// bodyTimeout bounds the time to read the buffered part of a request body.
 	bodyTimeout = 20 * time.Second
 	// lingerTimeout bounds how long a connection is read after its last response.
@@ -162,15 +166,17 @@
 		if err := c.awaitRequest(limits.IdleTimeout, limits.HeaderTimeout); err != nil {
 			return isDisconnect(err) || c.hasPending() && c.awaitLastAnswer(last, closed)
 		}
-		head, err := readHead(c.reader, limits.HeaderBytes)
+		memory := &reservation{server: c.server}
+		head, err := readHead(c.reader, limits.HeaderBytes, memory)
 		if err != nil {
+			memory.release()
 			return c.reject(err, closed)
 		}
 		if strings.EqualFold(head.Header.Get("Expect"), "100-continue") && !c.sendContinue(last, closed) {
+			memory.release()
 			return true
 		}
 		_ = c.raw.SetReadDeadline(time.Now().Add(bodyTimeout))
-		memory := &reservation{server: c.server}
 		body, err := readBody(c.reader, head, limits.BodyBytes, memory)
 		if err != nil {
 			memory.release()
@@ -184,9 +190,14 @@
 		}
 		last = next
 		go func() {
-			defer close(next.ready)
-			defer memory.release()
 			c.answer(ctx, next, body, arrived)
+			memory.release()
+			close(next.ready)
+			select {
+			case <-next.written:
+			case <-closed:
+			}
+			next.answer.Release()
 		}()
 		if body.rest != nil {
 			<-next.ready // the body is read until then
@@ -269,6 +280,7 @@
 func (c *connection) answer(ctx context.Context, s *slot, body requestBody, arrived time.Time) {
 	request := toRequest(s.request, body, arrived)
 	s.answer = c.server.config.Handler.Serve(ctx, request)
+	s.request = &http.Request{Method: s.request.Method} // the rest is not needed any more
 	if body.rest == nil {
 		return
 	}
@@ -277,6 +289,7 @@
 	c.endReading()
 	if errors.As(err, &rejection) {
 		c.logRejection(rejection)
+		s.answer.Release()
 		s.answer = backends.Response{Status: rejection.status, Header: http.Header{}}
 	}
 	// The start of the next request is unknown unless the body was read to its end.
@@ -416,8 +429,7 @@
 	for s := range c.slots {
 		<-s.ready
 		isLast := c.isLastAnswer(s)
-		_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-		_, err := c.raw.Write(encodeAnswer(s, isLast))
+		err := c.writeAnswer(s, isLast)
 		c.mu.Lock()
 		c.pending--
 		c.writtenAt = time.Now()
@@ -440,19 +452,43 @@
 	return isLast
 }
 
-func encodeAnswer(s *slot, isLast bool) []byte {
-	var text bytes.Buffer
-	fmt.Fprintf(&text, "HTTP/1.1 %d %s\r\n", s.answer.Status, statusText(s.answer.Status))
-	_ = s.answer.Header.Write(&text) // writes to a buffer never fail
+// writeAnswer sends a response. A client that is slow to read it is cut off if others wait for the
+// memory that it takes.
+func (c *connection) writeAnswer(s *slot, isLast bool) error {
+	text, body := encodeAnswer(s, isLast)
+	buffers := net.Buffers{text, body}
+	for began := time.Now(); ; {
+		_ = c.raw.SetWriteDeadline(time.Now().Add(slowWriteTime))
+		_, err := buffers.WriteTo(c.raw)
+		switch {
+		case !isTimeout(err) || time.Since(began) >= writeTimeout:
+			return err
+		case c.server.isShortOfMemory():
+			c.server.config.Count("connections.cut.slowReader")
+			return err
+		}
+	}
+}
+
+// encodeAnswer returns the head of a response with a short body, and a longer body apart, so that
+// it is not copied.
+func encodeAnswer(s *slot, isLast bool) (text, body []byte) {
+	var head bytes.Buffer
+	fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n", s.answer.Status, statusText(s.answer.Status))
+	_ = s.answer.Header.Write(&head) // writes to a buffer never fail
 	if s.answer.Status != http.StatusNoContent && s.answer.Status != http.StatusNotModified {
-		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(s.answer.Body))
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(s.answer.Body))
 	}
 	if isLast {
-		text.WriteString("Connection: close\r\n")
+		head.WriteString("Connection: close\r\n")
 	}
-	text.WriteString("\r\n")
-	if s.request == nil || s.request.Method != http.MethodHead {
-		text.Write(s.answer.Body)
+	head.WriteString("\r\n")
+	switch {
+	case s.request != nil && s.request.Method == http.MethodHead:
+	case len(s.answer.Body) <= maxCopiedBody:
+		head.Write(s.answer.Body)
+	default:
+		body = s.answer.Body
 	}
-	return text.Bytes()
+	return head.Bytes(), body
 }
--- a/internal/entry/callers/parse.go
+++ b/internal/entry/callers/parse.go
@@ -9,6 +9,14 @@
 	"github.com/cockroachdb/errors"
 )
 
+const (
+	// freeHeadBytes is the size in bytes of a header that needs no reservation.
+	freeHeadBytes = 4 << 10
+	// fieldMemory is what a field of a header takes in memory besides its text, in bytes: its
+	// place in the parsed header and in the copies that are sent.
+	fieldMemory = 256
+)
+
 // statusError is the rejection of a request with a status. The connection is closed,
 // since the start of the next request is unknown.
 type statusError struct {
@@ -22,11 +30,15 @@
 // readHead reads a request up to the end of its header. It checks the raw header
 // before net/http parses it: a request with two body lengths is rejected, where a
 // parser would choose one of them.
-func readHead(reader *bufio.Reader, limit int) (*http.Request, error) {
-	head, err := readHeaderBlock(reader, limit)
+// It reserves the memory that a long header takes.
+func readHead(reader *bufio.Reader, limit int, memory memoryReserver) (*http.Request, error) {
+	head, err := readHeaderBlock(reader, limit, memory)
 	if err != nil {
 		return nil, err
 	}
+	if len(head) > freeHeadBytes && !memory.reserve(int64(bytes.Count(head, []byte("\n"))*fieldMemory)) {
+		return nil, errNoMemory
+	}
 	if err := checkFraming(head); err != nil {
 		return nil, err
 	}
@@ -41,14 +53,19 @@
 }
 
 // readHeaderBlock reads lines up to and including the first empty one.
-func readHeaderBlock(reader *bufio.Reader, limit int) ([]byte, error) {
-	head := []byte{}
+func readHeaderBlock(reader *bufio.Reader, limit int, memory memoryReserver) ([]byte, error) {
+	head, isReserved := []byte{}, false
 	for {
 		line, err := reader.ReadSlice('\n')
 		head = append(head, line...)
 		if len(head) > limit {
 			return nil, &statusError{http.StatusRequestHeaderFieldsTooLarge, "header too large"}
 		}
+		if len(head) > freeHeadBytes && !isReserved {
+			if isReserved = memory.reserve(2 * int64(limit)); !isReserved { // it grows by copies
+				return nil, errNoMemory
+			}
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
--- a/internal/entry/callers/server.go
+++ b/internal/entry/callers/server.go
@@ -28,10 +28,14 @@
 	Handler Handler
 	// Limits returns the limits of the active configuration, or the defaults.
 	Limits func() redwingstall.CallerLimits
-	// MaxBuffered bounds the total bytes of the request bodies in memory.
-	MaxBuffered int64
-	Count       func(name string)
-	Log         *slog.Logger
+	// MaxBuffered bounds the total bytes of the requests in memory, and of the connections that
+	// take ConnectionMemory bytes each. Connections are accepted above it, too.
+	MaxBuffered      int64
+	ConnectionMemory int64
+	// IsShortOfMemory reports whether responses wait for the memory of others. It may be nil.
+	IsShortOfMemory func() bool
+	Count           func(name string)
+	Log             *slog.Logger
 }
 
 // Server accepts client connections.
@@ -45,8 +49,10 @@
 	requests       context.Context
 	cancelRequests context.CancelFunc
 
-	// buffered is the total bytes of the request bodies in memory.
+	// buffered is the total bytes of the requests in memory.
 	buffered atomic.Int64
+	// open is the number of open connections.
+	open atomic.Int64
 
 	// mu is locked before the lock of a connection.
 	mu          sync.Mutex
@@ -107,8 +113,10 @@
 		s.mu.Lock()
 		s.connections[c] = true
 		s.mu.Unlock()
+		s.open.Add(1)
 		s.running.Go(func() {
 			c.serve()
+			s.open.Add(-1)
 			s.mu.Lock()
 			delete(s.connections, c)
 			s.mu.Unlock()
@@ -118,15 +126,16 @@
 	s.running.Wait()
 }
 
-// reservation is the memory reserved for the body of one request.
+// reservation is the memory reserved for one request.
 type reservation struct {
 	server *Server
 	bytes  int64
 }
 
 func (r *reservation) reserve(bytes int64) bool {
-	if r.server.buffered.Add(bytes) > r.server.config.MaxBuffered {
-		r.server.buffered.Add(-bytes)
+	s := r.server
+	if s.buffered.Add(bytes)+s.open.Load()*s.config.ConnectionMemory > s.config.MaxBuffered {
+		s.buffered.Add(-bytes)
 		return false
 	}
 	r.bytes += bytes
@@ -135,6 +144,10 @@
 
 func (r *reservation) release() { r.server.buffered.Add(-r.bytes) }
 
+func (s *Server) isShortOfMemory() bool {
+	return s.config.IsShortOfMemory != nil && s.config.IsShortOfMemory()
+}
+
 // Drain starts to drain the server: it closes each connection after the last pending
 // response.
 func (s *Server) Drain() { s.isDraining.Store(true) }
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,18 @@
 	ReadyPath string
 }
 
+const (
+	// requestShare and responseShare are the parts of the memory for the requests and the
+	// responses that the instance holds, as divisors. The rest of the process and what the
+	// garbage collector has not freed yet need the other half.
+	requestShare  = 4
+	responseShare = 4
+	// connectionMemory is what an open connection of a client takes, in bytes.
+	connectionMemory = 16 << 10
+	// softLimitShare is the part of the memory above which the garbage collector runs more often.
+	softLimitShare = 0.8
+)
+
 // MetricsPort is the TCP port that serves metrics.
 const MetricsPort = "9464"
 
@@ -80,7 +93,8 @@
 		quarantine: &quarantine.Table{Self: node.Name, Random: rand.Float64},
 		done:       make(chan struct{}),
 	}
-	g.pool = backends.NewPool(platform.Protocol, g.metrics.Count)
+	debug.SetMemoryLimit(int64(softLimitShare * float64(node.MemoryBytes)))
+	g.pool = backends.NewPool(platform.Protocol, node.MemoryBytes/responseShare, g.metrics.Count)
 	var err error
 	g.exchange, err = peers.NewExchange(node, g.view, g.estimator, g.metrics, g.metrics.Add, log)
 	if err != nil {
@@ -107,12 +121,13 @@
 		ObserveResponse: g.observeOrderResponse,
 	})
 	g.callers, err = callers.Listen(node.FrontAddress, callers.Config{
-		Handler: g.newDispatcher(platform),
-		Limits:  func() redwingstall.CallerLimits { return callers.LimitsWithDefaults(g.view.Snapshot().Config) },
-		Count:   g.metrics.Count,
-		Log:     log,
-		// Responses and the rest of the process need the other three quarters.
-		MaxBuffered: node.MemoryBytes / 4,
+		Handler:          g.newDispatcher(platform),
+		Limits:           func() redwingstall.CallerLimits { return callers.LimitsWithDefaults(g.view.Snapshot().Config) },
+		Count:            g.metrics.Count,
+		Log:              log,
+		MaxBuffered:      node.MemoryBytes / requestShare,
+		ConnectionMemory: connectionMemory,
+		IsShortOfMemory:  g.pool.IsShortOfMemory,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -66,10 +66,15 @@
 	}
 	d.Estimator.End(time.Now(), j.route.Name, a.choice.candidate(), placement.Outcome{
 		Kind: result.outcome, Elapsed: took, QueueLength: a.choice.estimate.QueueLength, Load: answer.Meta.Load, HasLoad: answer.Meta.HasLoad,
-		ResponseBytes: len(answer.Body), OpenConnections: open, IsAnswered: err == nil,
+		ResponseBytes: len(answer.Body), OpenConnections: open, IsAnswered: result.isAnswered,
 		IsReplaced: result.isMisdirected && !isKeyed, IsQueueFull: result.isReset && took < queueFullResetTime,
 	})
 	a.answer, a.result = answer, result
+	if !result.isFinal && !result.isFailure {
+		answer.Release() // it is not passed on
+	} else {
+		j.responses.add(&a.answer)
+	}
 	d.observeEnd(ctx, j, a)
 	d.countAttempt(j, a)
 	if err == nil {
--- a/internal/traffic/dispatch/attempt_result.go
+++ b/internal/traffic/dispatch/attempt_result.go
@@ -26,7 +26,11 @@
 	mayHaveRun    bool
 	// isReset is set if the server reset the connection before it answered.
 	isReset bool
-	outcome placement.OutcomeKind
+	// isAnswered is set if the server sent a whole response, or one that exceeded its bound.
+	isAnswered bool
+	// isEndless is set if the response exceeded its bound.
+	isEndless bool
+	outcome   placement.OutcomeKind
 }
 
 // resultNoAnswer is the name of an attempt that was sent and whose connection broke off.
@@ -35,6 +39,16 @@
 // classifyAttempt classifies the response or error of an attempt. A request that was
 // sent counts as not executed only if the server says so.
 func classifyAttempt(answer backends.Response, err error, isCanceled bool, kind redwingstall.RouteKind) attemptResult {
+	if err != nil {
+		return classifyError(err, isCanceled)
+	}
+	result := classifyResponse(answer, kind)
+	result.isAnswered = true
+	return result
+}
+
+// classifyError classifies an attempt without a response.
+func classifyError(err error, isCanceled bool) attemptResult {
 	attemptError := &backends.Error{}
 	switch {
 	case errors.As(err, &attemptError) && !attemptError.IsSent:
@@ -43,10 +57,21 @@
 			result.outcome = placement.Neutral
 		}
 		return result
-	case err != nil && isCanceled:
+	case attemptError.Reason == backends.ReasonMemoryRevoked:
+		// Of all servers, this one held the most memory and had not finished.
+		return attemptResult{name: attemptError.Reason, mayHaveRun: true, outcome: placement.Failed}
+	case attemptError.Reason == backends.ReasonNoMemory:
+		return attemptResult{name: attemptError.Reason, mayHaveRun: true, outcome: placement.Abandoned}
+	case attemptError.Reason == backends.ReasonEndless:
+		return attemptResult{name: attemptError.Reason, mayHaveRun: true, isAnswered: true, isEndless: true, outcome: placement.Failed}
+	case isCanceled:
 		return attemptResult{name: "abandoned", mayHaveRun: true, outcome: placement.Abandoned}
-	case err != nil:
-		return attemptResult{name: resultNoAnswer, mayHaveRun: true, isReset: errors.Is(err, syscall.ECONNRESET), outcome: placement.Failed}
+	}
+	return attemptResult{name: resultNoAnswer, mayHaveRun: true, isReset: errors.Is(err, syscall.ECONNRESET), outcome: placement.Failed}
+}
+
+func classifyResponse(answer backends.Response, kind redwingstall.RouteKind) attemptResult {
+	switch {
 	case answer.Meta.NotExecuted && answer.Status == http.StatusMisdirectedRequest:
 		return attemptResult{name: "misdirected", isMisdirected: true}
 	case answer.Status == http.StatusMisdirectedRequest && !answer.Meta.IsSigned:
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -156,7 +156,9 @@
 	queueLength     float64
 	// lastFailure is the last server error that may be returned to the client.
 	lastFailure *backends.Response
-	ownerWait   time.Duration
+	// responses are those that may be passed on to the client.
+	responses responses
+	ownerWait time.Duration
 	// isHedging is set while a server for a hedge is chosen, which must not wait.
 	isHedging bool
 	// permitWait is the time that was spent on permits for servers with a limit.
@@ -167,11 +169,12 @@
 // isKeyed reports whether only the owner of its key may run the request.
 func (j *job) isKeyed() bool { return j.spec.Sharded && j.meta.HasKey }
 
-// Serve returns the final response. The context is canceled when the client
-// disconnects.
+// Serve returns the final response, which the caller releases. The context is canceled when the
+// client disconnects.
 func (d *Dispatcher) Serve(ctx context.Context, request Request) backends.Response {
 	j := &job{request: request, triedServers: map[string]bool{}}
 	answer, reason := d.serve(ctx, j)
+	j.responses.releaseOthers(answer)
 	d.record(j, answer, reason)
 	return answer
 }
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -101,6 +101,9 @@
 	reset       = &backends.Error{IsSent: true, Reason: "answer", Cause: errors.New("reset")}
 	shed        = answerOf(503, "Not-Executed", "1")
 	misdirected = answerOf(421, "Not-Executed", "1")
+	endless     = &backends.Error{IsSent: true, Reason: backends.ReasonEndless, Cause: errors.New("too long")}
+	revoked     = &backends.Error{IsSent: true, Reason: backends.ReasonMemoryRevoked, Cause: errors.New("full")}
+	noMemory    = &backends.Error{IsSent: true, Reason: backends.ReasonNoMemory, Cause: errors.New("full")}
 	encoded     = answerOf(200, "Response-Signature", "s", "Content-Encoding", "gzip")
 	unsigned    = answerOf(200)
 )
@@ -195,6 +198,13 @@
 		"uploadServerError":    {"/upload/x", []result{{answer: signed(500)}, ok}, 500, 1},
 		"unknownAfterReset":    {"/unknown/x", []result{{err: reset}, ok}, 502, 1},
 		"unknownServerError":   {"/unknown/x", []result{{answer: signed(500)}, ok}, 500, 1},
+		"safeEndless":          {"/safe/x", []result{{err: endless}, ok}, 200, 2},
+		"safeEndlessTwice":     {"/safe/x", []result{{err: endless}, {err: endless}}, 502, 2},
+		"unsafeEndless":        {"/unsafe/x", []result{{err: endless}, ok}, 502, 1},
+		"safeNoMemory":         {"/safe/x", []result{{err: noMemory}, ok}, 200, 2},
+		"safeRevoked":          {"/safe/x", []result{{err: revoked}, ok}, 200, 2},
+		"unsafeRevoked":        {"/unsafe/x", []result{{err: revoked}, ok}, 502, 1},
+		"unsafeNoMemory":       {"/unsafe/x", []result{{err: noMemory}, ok}, 502, 1},
 		// Without Not-Executed, a status that promises that the request did not run is
 		// not passed on for a request that must not run twice.
 		"unsafeUnproven503": {"/unsafe/x", []result{{answer: signed(503)}, ok}, 502, 1},
