Eject a server that answers without end with its first such response

Callers saw: requests that wait until their deadline while a server which answers without end is asked again and again; each response takes the link and the memory of the others.

Cause: such a response counted as one failure of two that eject a server, and the owner of keys was never refused for it.

Change: the first endless response ejects the server for 0.3 s, each further one for longer. After two in a row the requests of its keys are refused at once: nobody else can run them, and the next response would be endless too.

TestEndlessResponsesEjectAServer did not compile before (no such outcome), and fails with the line taken out.

--- a/internal/routing/placement/health.go
+++ b/internal/routing/placement/health.go
@@ -63,7 +63,9 @@
 type health struct {
 	counter             attemptCounter
 	consecutiveFailures int
-	ejectedUntil        time.Time
+	// consecutiveEndless is the number of endless responses since the last useful one.
+	consecutiveEndless int
+	ejectedUntil       time.Time
 	// unansweredSince is the start of the time without a response: when the last
 	// response came, or the first request was sent after an idle time. It is zero while
 	// no response is pending.
@@ -82,7 +84,7 @@
 func (h *health) end(now time.Time, o Outcome, inFlight int) {
 	switch o.Kind {
 	case Served:
-		h.consecutiveFailures = 0
+		h.consecutiveFailures, h.consecutiveEndless = 0, 0
 		h.counter.add(now, false)
 	case Failed:
 		h.consecutiveFailures++
@@ -90,6 +92,10 @@
 		if o.IsReplaced {
 			h.consecutiveFailures = max(h.consecutiveFailures, ejectionThreshold+replacedExtraFailures)
 		}
+		if o.IsEndless {
+			h.consecutiveEndless++
+			h.consecutiveFailures = max(h.consecutiveFailures, ejectionThreshold)
+		}
 		if h.consecutiveFailures >= ejectionThreshold {
 			h.ejectedUntil = now.Add(min(baseEjectionTime<<min(h.consecutiveFailures-ejectionThreshold, 4), maxEjectionTime))
 		}
@@ -130,12 +136,17 @@
 	EjectionFailures EjectionReason = "failures"
 	// EjectionFailureRate is due to the failure rate over all instances.
 	EjectionFailureRate EjectionReason = "failing"
+	// EjectionEndless is due to consecutive responses without end, each of which takes the
+	// link and the memory of the others.
+	EjectionEndless EjectionReason = "endless"
 	// EjectionUnresponsive is due to the lack of any response.
 	EjectionUnresponsive EjectionReason = "silent"
 )
 
 func (s *serverState) ejectionReason(now time.Time, expected time.Duration) EjectionReason {
 	switch {
+	case s.health.isEjected(now) && s.health.consecutiveEndless >= ejectionThreshold:
+		return EjectionEndless
 	case s.health.isEjected(now):
 		return EjectionFailures
 	case s.isFailing(now):
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -301,6 +301,8 @@
 	IsAnswered bool
 	// IsReplaced is set if another server answers at the address.
 	IsReplaced bool
+	// IsEndless is set if the response exceeded the bound of its length.
+	IsEndless bool
 	// IsQueueFull is set if the connection was reset at once, as servers do whose queue
 	// is full.
 	IsQueueFull bool
--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -136,3 +136,25 @@
 	require.True(t, other.Estimate(atMillis(20), "r", candidate).IsEjected)
 	require.False(t, other.Estimate(atMillis(5000), "r", candidate).IsEjected)
 }
+
+// Guards against a server that is asked again and again although it answers without end, which
+// takes the link and the memory of the others.
+func TestEndlessResponsesEjectAServer(t *testing.T) {
+	e := &Estimator{}
+	answer := func(at int, o Outcome) {
+		e.Begin(atMillis(at), "s1")
+		e.End(atMillis(at), "r", candidate, o)
+	}
+	endless := Outcome{Kind: Failed, IsAnswered: true, IsEndless: true}
+	answer(0, endless)
+	first := e.Estimate(atMillis(200), "r", candidate)
+	require.True(t, first.IsEjected, "with the first one")
+	require.Equal(t, EjectionFailures, first.Reason, "the owner of keys stays in use: it may answer others")
+	require.False(t, e.Estimate(atMillis(400), "r", candidate).IsEjected, "one request probes it")
+	answer(500, endless)
+	second := e.Estimate(atMillis(1000), "r", candidate)
+	require.Equal(t, EjectionEndless, second.Reason)
+	answer(1200, Outcome{Kind: Served, IsAnswered: true})
+	answer(1300, Outcome{Kind: Failed})
+	require.NotEqual(t, EjectionEndless, e.Estimate(atMillis(1350), "r", candidate).Reason)
+}
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -67,7 +67,7 @@
 	d.Estimator.End(time.Now(), j.route.Name, a.choice.candidate(), placement.Outcome{
 		Kind: result.outcome, Elapsed: took, QueueLength: a.choice.estimate.QueueLength, Load: answer.Meta.Load, HasLoad: answer.Meta.HasLoad,
 		ResponseBytes: len(answer.Body), OpenConnections: open, IsAnswered: result.isAnswered,
-		IsReplaced: result.isMisdirected && !isKeyed, IsQueueFull: result.isReset && took < queueFullResetTime,
+		IsEndless: result.isEndless, IsReplaced: result.isMisdirected && !isKeyed, IsQueueFull: result.isReset && took < queueFullResetTime,
 	})
 	a.answer, a.result = answer, result
 	if !result.isFinal && !result.isFailure {
