--- a/internal/wire/http1/clients_test.go
+++ b/internal/wire/http1/clients_test.go
@@ -168,7 +168,7 @@
 	runtime.ReadMemStats(&before)
 	client := platform.NewOwnerClient()
 	var orders sync.WaitGroup
-	const count, mostOfEach = 20, 4 << 20
+	const count, mostOfEach = 20, 512 << 10
 	for i := range count {
 		orders.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
