Soak with servers that copy refusals, and answer without end or stall

One or two servers at a time are in trouble, beside all other faults; clients send requests that may run once to the owners of keys.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -111,11 +111,15 @@
 		c := s.client(n)
 		clients.Go(func() { c.run(ctx) })
 	}
+	for n := range s.instances {
+		clients.Go(func() { s.sendBookings(ctx, n) })
+	}
 	var faults sync.WaitGroup
 	faults.Go(func() { s.makeDemands(config.Duration) })
 	faults.Go(func() { s.disturbOrders(config.Duration) })
 	faults.Go(func() { s.writeOddEntries(config.Duration) })
 	faults.Go(func() { s.sendDeadlyRequests(config.Duration) })
+	faults.Go(func() { s.disturbRequests(config.Duration) })
 	if config.RestoresStore {
 		restore, delay := s.drawFault(namedFault{"restoreStore", s.restoreStore}), s.random.Int64N(int64(config.Duration))
 		faults.Go(func() {
@@ -194,6 +198,7 @@
 		Version: s.version,
 		Routes: []redwingstall.Route{
 			route("keyed", redwingstall.KindSafe, "keyed"), route("charge", redwingstall.KindUnsafe, "charges"),
+			route("book", redwingstall.KindUnsafe, "keyed"),
 			route(fmt.Sprintf("version%d", s.version), redwingstall.KindSafe, "charges"),
 		},
 		Services: map[string]redwingstall.ServiceSpec{"keyed": service("keyed", true), "charges": service("charges", false)},
