--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -93,7 +93,9 @@
 		quarantine: &quarantine.Table{Self: node.Name, Random: rand.Float64},
 		done:       make(chan struct{}),
 	}
-	debug.SetMemoryLimit(int64(softLimitShare * float64(node.MemoryBytes)))
+	if node.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(softLimitShare * float64(node.MemoryBytes)))
+	}
 	g.pool = backends.NewPool(platform.Protocol, node.MemoryBytes/responseShare, g.metrics.Count)
 	var err error
 	g.exchange, err = peers.NewExchange(node, g.view, g.estimator, g.metrics, g.metrics.Add, log)
