Allow a server half of the memory for responses

Completed responses count against a server's part until they are written, which is its clients' pace; a quarter made others wait for a service with one server although memory was free. What is not complete is revoked if others need it.

--- a/internal/entry/memory/budget.go
+++ b/internal/entry/memory/budget.go
@@ -43,7 +43,7 @@
 
 // holderShare divides the budget into the parts of which a holder may reserve one. A single
 // reservation may be larger.
-const holderShare = 4
+const holderShare = 2
 
 // NewBudget returns a budget of a number of bytes.
 func NewBudget(limit int64) *Budget {
