Read long responses of unknown length in chunks

Now it is read in chunks, and copied once at its end. Bodies of up to 4 KB need no reservation, as small heads do.

--- a/internal/entry/backends/body.go
+++ b/internal/entry/backends/body.go
@@ -19,9 +19,13 @@
 	maxSmallBody = 128 << 10
 	// minBodyRead is the size in bytes that the memory for a body of unknown length begins with.
 	minBodyRead = 4 << 10
-	// freeHeadBytes is the size of a head that needs no reservation. A longer one reserves
-	// longHeadMemory, which the fields of maxHeadBytes take when they are parsed.
-	freeHeadBytes  = 4 << 10
+	// chunkSize is the size in bytes in which a longer body of unknown length is read.
+	chunkSize = 256 << 10
+	// freeBytes is the size of a head, and of a body of known length, that needs no reservation,
+	// as a connection takes more.
+	freeBytes = 4 << 10
+	// longHeadMemory is reserved for a longer head: the fields of maxHeadBytes take so much when
+	// they are parsed.
 	longHeadMemory = 1 << 20
 	// suspectTime is how long a server that answered without end waits behind the others for
 	// memory.
@@ -95,9 +99,12 @@
 }
 
 func (m responseMemory) readLength(ctx reading, source io.Reader, length int64) ([]byte, *memory.Reservation, error) {
-	r, err := m.reserveBody(ctx, length)
-	if err != nil {
-		return nil, nil, err
+	var r *memory.Reservation
+	if length > freeBytes {
+		var err error
+		if r, err = m.reserveBody(ctx, length); err != nil {
+			return nil, nil, err
+		}
 	}
 	body := make([]byte, length)
 	if _, err := io.ReadFull(source, body); err != nil {
@@ -123,13 +130,30 @@
 		r.Release()
 		return nil, nil, err
 	}
-	body = append(make([]byte, 0, maxAnswerBytes), body...)
 	r.Release()
-	body, isWhole, err = fill(body, source, maxAnswerBytes)
-	if err == nil && !isWhole {
-		err = expectEnd(source)
+	body, err = readChunks(body, source)
+	return finishBody(body, large, err)
+}
+
+// readChunks reads the rest of a body behind its start. Until the end, it takes no more memory
+// than was read.
+func readChunks(start []byte, source io.Reader) ([]byte, error) {
+	chunks, size := [][]byte{start}, len(start)
+	for size < maxAnswerBytes {
+		room := min(chunkSize, maxAnswerBytes-size)
+		chunk, isWhole, err := fill(make([]byte, 0, room), source, room)
+		if err != nil {
+			return nil, err
+		}
+		chunks, size = append(chunks, chunk), size+len(chunk)
+		if isWhole {
+			return slices.Concat(chunks...), nil
+		}
+	}
+	if err := expectEnd(source); err != nil {
+		return nil, err
 	}
-	return finishBody(slices.Clone(body), large, err)
+	return slices.Concat(chunks...), nil
 }
 
 // finishBody keeps the reserved memory that a body needs.
--- a/internal/entry/backends/limit.go
+++ b/internal/entry/backends/limit.go
@@ -44,7 +44,7 @@
 // reserve before it reads a long head.
 func readHead(c *connection, method string, reserve func() error) (*http.Response, error) {
 	c.limit.allow(maxHeadBytes)
-	c.limit.free, c.limit.reserve = freeHeadBytes, reserve
+	c.limit.free, c.limit.reserve = freeBytes, reserve
 	for {
 		answer, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || answer.StatusCode >= http.StatusOK {
