Bound all bodies that redwingstall serve holds

What could happen: an instance exceeds its memory although each body is within its limit: 256 KiB of each request that may be sent again, and up to limits.maxBodyBytes of each response of an at-most-once service.

Change: limits.maxBufferedBytes, 256 MiB by default, half for each. A request beyond it is refused as notRun at once; an account has at most half. A response waits until the request's deadline, since it has run, and then counts as not recorded.

TestBodiesBeyondTheBufferedBytesAreRefused and TestResponsesWaitForBufferedBytes did not compile before (no such bound).

--- a/internal/entry/memory/budget.go
+++ b/internal/entry/memory/budget.go
@@ -69,7 +69,8 @@
 // ends, whose error it returns then. It returns [ErrTooLarge] if there will never be enough.
 //
 // The budget calls revoke, at most once and until Keep, when others need the bytes. Their holder
-// must release them soon after. The function must not block or use the budget.
+// must release them soon after. The function must not block or use the budget. Nil makes them
+// irrevocable.
 func (b *Budget) Reserve(ctx context.Context, name string, bytes int64, revoke func()) (*Reservation, error) {
 	if bytes > b.limit {
 		return nil, errors.Wrapf(ErrTooLarge, "%d of %d bytes", bytes, b.limit)
@@ -87,6 +88,20 @@
 	}
 }
 
+// TryReserve reserves bytes for a holder if there is enough at once, and returns nil otherwise.
+func (b *Budget) TryReserve(name string, bytes int64) *Reservation {
+	r := &Reservation{budget: b, holder: name, bytes: bytes}
+	if bytes > b.limit {
+		return nil
+	}
+	if !b.enqueue(r) {
+		r.Release()
+		return nil
+	}
+	r.Keep(bytes)
+	return r
+}
+
 // enqueue reports whether the reservation is granted at once.
 func (b *Budget) enqueue(r *Reservation) bool {
 	b.mu.Lock()
@@ -118,7 +133,9 @@
 		h := b.holders[r.holder]
 		b.used += r.bytes
 		h.used += r.bytes
-		h.revocable = append(h.revocable, r)
+		if r.revoke != nil {
+			h.revocable = append(h.revocable, r)
+		}
 		r.isSet = true
 		if r.granted != nil {
 			close(r.granted)
--- a/pkg/caller/forwarded.go
+++ b/pkg/caller/forwarded.go
@@ -34,6 +34,10 @@
 		r.inFlight.Add(1)
 		defer r.inFlight.Done()
 		q, invalid := r.parseForwarded(incoming)
+		if invalid == nil {
+			defer q.release()
+			invalid = q.readBody(incoming, r.common.Settings.Limits, r.buffers.requests)
+		}
 		if invalid != nil {
 			r.writeRefusal(w, refusal{redwingstall.OutcomeNotRun, invalid.reason, invalid.status, invalid.detail})
 			return
@@ -78,11 +82,12 @@
 		r.writeJournaledError(w, asAttemptError(err))
 		return
 	}
+	defer response.Body.Close()
 	writeHeader(w, response)
 	_, _ = io.Copy(w, response.Body)
 }
 
-// parseForwarded parses a request that another instance forwarded.
+// parseForwarded parses the header of a request that another instance forwarded.
 func (r *Router) parseForwarded(incoming *http.Request) (*request, *requestError) {
 	account, service, _ := strings.Cut(incoming.Header.Get(redwingstall.HeaderRole), "/")
 	found, ok := r.config.View.Snapshot().Service(account, service)
@@ -103,7 +108,7 @@
 	if invalid := r.setForwardedDeadline(q, incoming.Header); invalid != nil {
 		return nil, invalid
 	}
-	return q, q.readBody(incoming, r.common.Settings.Limits)
+	return q, nil
 }
 
 // setForwardedDeadline sets the deadline from the time left that the sender states.
--- a/pkg/caller/journaled.go
+++ b/pkg/caller/journaled.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/redwingstall/redwingstall"
-	"github.com/redwingstall/redwingstall/internal/wire/http1"
 	"github.com/redwingstall/redwingstall/pkg/backend"
 	"github.com/redwingstall/redwingstall/pkg/journal"
 )
@@ -121,7 +120,7 @@
 		r.recordFailedAttempt(entry, attempt, attemptErr)
 		return nil, attemptErr
 	}
-	body, err := http1.ReadBody(response.Body, r.common.Settings.Limits.MaxBodyBytes)
+	body, reserved, err := r.buffers.readResponse(ctx, q.account+"/"+q.service.Name, response, r.common.Settings.Limits.MaxBodyBytes)
 	_ = response.Body.Close()
 	if err != nil {
 		// The server ran the request, but its response cannot be recovered.
@@ -134,7 +133,9 @@
 	r.recordOutcome(func(ctx context.Context) error {
 		return r.config.Journal.Complete(ctx, entry, attempt, recorded)
 	})
-	return responseFromRecord(q, recorded, response.Header.Get(redwingstall.HeaderServer)), nil
+	answer := responseFromRecord(q, recorded, response.Header.Get(redwingstall.HeaderServer))
+	answer.Body = releasingBody{answer.Body, reserved}
+	return answer, nil
 }
 
 // recordFailedAttempt releases the idempotency key if the request did not run, and
--- a/pkg/caller/request.go
+++ b/pkg/caller/request.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/entry/memory"
 	"github.com/redwingstall/redwingstall/pkg/settings"
 	"github.com/redwingstall/redwingstall/pkg/templates"
 )
@@ -56,6 +57,7 @@
 	bufferedBody []byte
 	streamedBody *singleUseBody
 	bodyLength   int64
+	reserved     *memory.Reservation
 }
 
 // requestError describes why a request is invalid.
@@ -68,8 +70,8 @@
 // serviceLookup finds a service by account and name.
 type serviceLookup func(account, service string) (templates.Service, bool)
 
-// parseRequest parses and validates a caller's request.
-func parseRequest(r *http.Request, findService serviceLookup, policy settings.Policy, limits settings.Limits, now time.Time) (*request, *requestError) {
+// parseRequest parses and validates the header of a caller's request.
+func parseRequest(r *http.Request, findService serviceLookup, policy settings.Policy, now time.Time) (*request, *requestError) {
 	account, service, key, invalid := splitPath(r.URL)
 	if invalid != nil {
 		return nil, invalid
@@ -95,7 +97,7 @@
 	if invalid := q.setDeadline(r, policy, now); invalid != nil {
 		return nil, invalid
 	}
-	return q, q.readBody(r, limits)
+	return q, nil
 }
 
 // splitPath returns the parts of /v1/account/service/key, with canonical escaping.
@@ -149,8 +151,9 @@
 }
 
 // readBody buffers a small body and sets up streaming of a large one. The body of a
-// journaled request is always buffered, since its digest is needed.
-func (q *request) readBody(r *http.Request, limits settings.Limits) *requestError {
+// journaled request is always buffered, since its digest is needed. Its memory is reserved
+// until release.
+func (q *request) readBody(r *http.Request, limits settings.Limits, budget *memory.Budget) *requestError {
 	if r.ContentLength > limits.MaxBodyBytes {
 		return &requestError{http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body exceeds the size limit"}
 	}
@@ -160,6 +163,15 @@
 		q.streamedBody = &singleUseBody{source: io.LimitReader(r.Body, limits.MaxBodyBytes+1), remaining: limits.MaxBodyBytes}
 		return nil
 	}
+	length := r.ContentLength
+	if length < 0 {
+		length = limits.MaxBodyBytes
+	}
+	if length > 0 {
+		if q.reserved = budget.TryReserve(q.account, length); q.reserved == nil {
+			return errNoMemory
+		}
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limits.MaxBodyBytes+1))
 	if err != nil {
 		return &requestError{http.StatusBadRequest, "bodyCut", "the body could not be read"}
@@ -169,9 +181,13 @@
 	}
 	q.bufferedBody = body
 	q.bodyLength = int64(len(body))
+	q.reserved.Keep(q.bodyLength)
 	return nil
 }
 
+// release ends the reservation of the memory for the body.
+func (q *request) release() { q.reserved.Release() }
+
 // body returns a reader of the body for one attempt.
 func (q *request) body() io.Reader {
 	if q.streamedBody != nil {
--- a/pkg/caller/request_test.go
+++ b/pkg/caller/request_test.go
@@ -1,16 +1,20 @@
 package caller
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/redwingstall/redwingstall/internal/entry/memory"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 	"github.com/redwingstall/redwingstall/pkg/settings"
 	"github.com/redwingstall/redwingstall/pkg/templates"
 )
@@ -25,7 +29,66 @@
 func parseTestRequest(r *http.Request) (*request, *requestError) {
 	s := settings.Default()
 	s.Limits.MaxBodyBytes = 1000
-	return parseRequest(r, findTestService, s.Policy, s.Limits, time.Unix(0, 0))
+	q, invalid := parseRequest(r, findTestService, s.Policy, time.Unix(0, 0))
+	if invalid == nil {
+		invalid = q.readBody(r, s.Limits, memory.NewBudget(s.Limits.MaxBufferedBytes))
+	}
+	return q, invalid
+}
+
+// Guards against many bodies that are each within their limit, but not all together.
+func TestBodiesBeyondTheBufferedBytesAreRefused(t *testing.T) {
+	limits := settings.Default().Limits
+	limits.MaxBodyBytes = 1000
+	budget := memory.NewBudget(2500)
+	read := func(account string, length int64) (*request, *requestError) {
+		q := &request{account: account, service: templates.Service{Kind: templates.KindAtMostOnce}, idempotencyKey: "k"}
+		r := httptest.NewRequest(http.MethodPost, "/v1/z/licence/x", strings.NewReader(strings.Repeat("x", 1000)))
+		r.ContentLength = length
+		return q, q.readBody(r, limits, budget)
+	}
+	first, invalid := read("a", 1000)
+	require.Nil(t, invalid)
+	_, invalid = read("a", 1000)
+	require.Equal(t, errNoMemory, invalid, "an account has half")
+	second, invalid := read("b", -1)
+	require.Nil(t, invalid)
+	_, invalid = read("c", 1000)
+	require.Equal(t, errNoMemory, invalid)
+	require.Equal(t, http.StatusServiceUnavailable, invalid.status)
+	first.release()
+	third, invalid := read("c", 1000)
+	require.Nil(t, invalid)
+	second.release()
+	third.release()
+	third.release()
+	require.Zero(t, budget.Used())
+}
+
+// Guards against responses of at-most-once services that are each within their limit, but not
+// all together.
+func TestResponsesWaitForBufferedBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBuffers(settings.Limits{MaxBufferedBytes: 2000})
+		read := func(ctx context.Context, length int64) ([]byte, *memory.Reservation, error) {
+			return b.readResponse(ctx, "z/licence", &http.Response{ContentLength: length, Body: io.NopCloser(strings.NewReader(strings.Repeat("x", 400)))}, 1000)
+		}
+		body, first, err := read(t.Context(), -1)
+		require.NoError(t, err)
+		require.Len(t, body, 400)
+		require.EqualValues(t, 400, b.responses.Used(), "what is not needed is free again")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, _, err = read(ctx, 800)
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		_, _, err = read(t.Context(), 1001)
+		require.ErrorIs(t, err, http1.ErrTooLong)
+		first.Release()
+		_, second, err := read(t.Context(), -1)
+		require.NoError(t, err)
+		second.Release()
+		require.Zero(t, b.responses.Used())
+	})
 }
 
 func TestInvalidRequestsAreRefusedWithReason(t *testing.T) {
--- a/pkg/caller/router.go
+++ b/pkg/caller/router.go
@@ -40,6 +40,7 @@
 	common   *common.Common
 	config   Config
 	policies *servicePolicies
+	buffers  buffers
 	// inFlight counts requests and pending journal writes, for a graceful shutdown.
 	inFlight sync.WaitGroup
 	done     chan struct{}
@@ -57,6 +58,7 @@
 		common:        c,
 		config:        config,
 		policies:      newServicePolicies(c.Settings.Policy),
+		buffers:       newBuffers(c.Settings.Limits),
 		done:          make(chan struct{}),
 		recordCtx:     recordCtx,
 		stopRecording: stopRecording,
@@ -120,7 +122,11 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Done()
 	r.common.Count("requests.received")
-	q, invalid := parseRequest(incoming, r.config.View.Snapshot().Service, r.common.Settings.Policy, r.common.Settings.Limits, r.now())
+	q, invalid := parseRequest(incoming, r.config.View.Snapshot().Service, r.common.Settings.Policy, r.now())
+	if invalid == nil {
+		defer q.release()
+		invalid = q.readBody(incoming, r.common.Settings.Limits, r.buffers.requests)
+	}
 	if invalid != nil {
 		r.writeRefusal(w, refusal{redwingstall.OutcomeNotRun, invalid.reason, invalid.status, invalid.detail})
 		return
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -69,6 +69,10 @@
 	// MaxBodyBytes bounds the body of a request, and of the response to a request of
 	// an at-most-once service.
 	MaxBodyBytes int64 `toml:"maxBodyBytes"`
+	// MaxBufferedBytes bounds the bodies that an instance holds in all: half of it the bodies
+	// of requests that may be sent again, and half the responses of at-most-once services. There
+	// is always room for one of each.
+	MaxBufferedBytes int64 `toml:"maxBufferedBytes"`
 	// MaxConnections bounds the open connections of each listener.
 	MaxConnections int `toml:"maxConnections"`
 	// HeaderReadTimeout bounds the time to read the header of a request.
@@ -175,6 +179,7 @@
 		Limits: Limits{
 			MaxHeaderBytes:    16 * bytesPerKiB,
 			MaxBodyBytes:      4 * bytesPerMiB,
+			MaxBufferedBytes:  256 * bytesPerMiB,
 			MaxConnections:    4096,
 			HeaderReadTimeout: 5 * time.Second,
 			IdleTimeout:       time.Minute,
@@ -321,6 +326,7 @@
 	}{
 		{"limits.maxHeaderBytes", int64(s.Limits.MaxHeaderBytes)},
 		{"limits.maxBodyBytes", s.Limits.MaxBodyBytes},
+		{"limits.maxBufferedBytes", s.Limits.MaxBufferedBytes},
 		{"limits.maxConnections", int64(s.Limits.MaxConnections)},
 		{"policy.movesPerTick", int64(s.Policy.MovesPerTick)},
 		{"policy.journalMaxAnswerBytes", int64(s.Policy.JournalMaxAnswerBytes)},
