Search for promises that rest on a copy of an earlier response

Dispatcher and real connections over servers that refuse, break off and repeat their responses at any time: no client may read 503 of a request that ran, and none may run twice.

--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -120,6 +120,7 @@
 		Routes: []redwingstall.Route{
 			route("safe", redwingstall.KindSafe, "s"), route("unsafe", redwingstall.KindUnsafe, "s"), route("keyed", redwingstall.KindSafe, "k"),
 			route("download", redwingstall.KindDownload, "s"), route("upload", redwingstall.KindUpload, "s"), route("unknown", "stream", "s"),
+			route("book", redwingstall.KindUnsafe, "k"),
 		},
 		Services: map[string]redwingstall.ServiceSpec{
 			"s": {Name: "s", MaxConnections: 100, WarmupRate: 5.7},
