--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -99,7 +99,8 @@
 	return r.Trace == other.Trace && r.Trace.Connection != 0
 }
 
-// Trace tells attempts of the same request apart in logs.
+// Trace identifies one attempt: the connection and its place there. It tells attempts at the same
+// request apart.
 type Trace struct {
 	// Connection numbers the connections of a pool from 1 on. It is 0 if there was none.
 	Connection int64
@@ -182,6 +183,9 @@
 // IsShortOfMemory reports whether responses wait for memory.
 func (p *Pool) IsShortOfMemory() bool { return p.memory.small.IsShort() || p.memory.large.IsShort() }
 
+// HeldBytes returns the memory that is reserved for responses, in bytes.
+func (p *Pool) HeldBytes() int64 { return p.memory.small.Used() + p.memory.large.Used() }
+
 // Limits bounds the connections of this instance to one server.
 type Limits struct {
 	// Open is the maximum number of open connections.
@@ -193,9 +197,6 @@
 	IsNew bool
 }
 
-// HeldBytes returns the memory that is reserved for responses, in bytes.
-func (p *Pool) HeldBytes() int64 { return p.memory.small.Used() + p.memory.large.Used() }
-
 // Do sends a request to the server with the given id and address, within the limits
 // of its connections, on one that carried no other attempt at the request. The error is
 // an *[Error].
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -84,17 +84,23 @@
 		d.logAbandoned(ctx, j, server.ID)
 	}
 	if result.name != "success" || a.number > 1 {
-		trace := answer.Trace
-		if attemptError := (&backends.Error{}); errors.As(err, &attemptError) {
-			trace = attemptError.Trace
-		}
-		d.Log.Info("attempt", "id", j.meta.ID, "route", j.route.Name, "server", server.ID, "attempt", a.number,
-			"outcome", result.name, "status", answer.Status, "tookMillis", took.Milliseconds(), "queue", a.choice.estimate.QueueLength,
-			"expectedMillis", a.choice.estimate.Completion.Milliseconds(), "view", a.choice.viewAge,
-			"connection", trace.Connection, "earlierRequests", trace.EarlierRequests, "strayAnswers", trace.StrayAnswers, "error", errorText(err))
+		d.logAttempt(j, a, took, err)
 	}
 }
 
+// logAttempt logs an attempt that has ended, and the connection that tells it from the others at
+// its request.
+func (d *Dispatcher) logAttempt(j *job, a *attempt, took time.Duration, err error) {
+	trace := a.answer.Trace
+	if attemptError := (&backends.Error{}); errors.As(err, &attemptError) {
+		trace = attemptError.Trace
+	}
+	d.Log.Info("attempt", "id", j.meta.ID, "route", j.route.Name, "server", a.choice.server.ID, "attempt", a.number,
+		"outcome", a.result.name, "status", a.answer.Status, "tookMillis", took.Milliseconds(), "queue", a.choice.estimate.QueueLength,
+		"expectedMillis", a.choice.estimate.Completion.Milliseconds(), "view", a.choice.viewAge,
+		"connection", trace.Connection, "earlierRequests", trace.EarlierRequests, "strayAnswers", trace.StrayAnswers, "error", errorText(err))
+}
+
 // queueFullResetTime is the time within which a server resets a request that does
 // not fit into its queue. It includes a round trip between failure domains and a new
 // connection.
