Measure the memory of the program that was built without the race detector

The program is built as it is deployed, the idle connections are opened first, and memory is sampled from the start. The bound is as it was.

--- a/test/memory/memory_test.go
+++ b/test/memory/memory_test.go
@@ -20,23 +20,33 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingstall/redwingstall"
-	"github.com/redwingstall/redwingstall/pkg/app"
 	"github.com/redwingstall/redwingstall/platform/platformtest"
 )
 
-// programVariable is the environment variable that makes the test binary run as the program.
-const programVariable = "REDWINGSTALL_MEMORY_PROGRAM"
+// folder holds the program.
+var folder string
 
 func TestMain(m *testing.M) {
-	if os.Getenv(programVariable) != "" {
-		os.Exit(app.Main(os.Args[1:], os.Stdout, os.Stderr))
+	var err error
+	if folder, err = os.MkdirTemp("", "redwingstall"); err != nil {
+		panic(err)
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
 }
 
+// buildProgram builds the program, without the race detector, which takes many times the memory.
+var buildProgram = sync.OnceValues(func() (string, error) {
+	program := filepath.Join(folder, "redwingstall")
+	output, err := exec.Command("go", "build", "-o", program, "github.com/redwingstall/redwingstall/cmd/redwingstall").CombinedOutput()
+	return program, errors.Wrapf(err, "%s", output)
+})
+
 const (
 	// ip is an address of the loopback network that no other test listens on, so that fixed
 	// ports are free.
@@ -98,15 +108,16 @@
 }
 
 func (i *instance) start(store string) {
-	folder := i.t.TempDir()
-	settings := filepath.Join(folder, "boot.conf")
+	run := i.t.TempDir()
+	settings := filepath.Join(run, "boot.conf")
 	text := platformtest.Settings("entry-1", ip, "north", frontAddress, readyAddress, peerPort, store) +
 		platformtest.FirstStartSettings + fmt.Sprintf("limits.memory_mb=%d\n", memoryMB)
 	require.NoError(i.t, os.WriteFile(settings, []byte(text), 0o600))
-	logs, err := os.Create(filepath.Join(folder, "log"))
+	logs, err := os.Create(filepath.Join(run, "log"))
+	require.NoError(i.t, err)
+	program, err := buildProgram()
 	require.NoError(i.t, err)
-	i.process = exec.Command(os.Args[0], "gateway", "--settings", settings)
-	i.process.Env = append(os.Environ(), programVariable+"=1")
+	i.process = exec.Command(program, "gateway", "--settings", settings)
 	i.process.Stdout, i.process.Stderr = logs, logs
 	require.NoError(i.t, i.process.Start())
 	i.t.Cleanup(func() {
@@ -155,6 +166,24 @@
 	return (resident - shared) * os.Getpagesize()
 }
 
+// sampleMemory keeps the most memory that the program takes, until the returned function is called,
+// whose channel is closed when the last sample was taken.
+func (i *instance) sampleMemory(ctx context.Context, most *int) (stop func() <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for ctx.Err() == nil {
+			*most = max(*most, i.anonymousBytes())
+			time.Sleep(2 * time.Millisecond)
+		}
+	}()
+	return func() <-chan struct{} {
+		cancel()
+		return done
+	}
+}
+
 // results are the responses to the requests of a load.
 type results struct {
 	mu        sync.Mutex
@@ -254,6 +283,9 @@
 				i.servers[2*n+1].DisturbRequests(trouble)
 				i.servers[2*n+1].DisturbOrders([]platformtest.Disorder{platformtest.EndlessHeads, platformtest.EndlessBodies}[n%2])
 			}
+			most := 0
+			sampled := i.sampleMemory(t.Context(), &most)
+			idle(t.Context(), t, 1500)
 			ctx, cancel := context.WithTimeout(t.Context(), fillTime)
 			defer cancel()
 			var running sync.WaitGroup
@@ -264,13 +296,8 @@
 			flood(ctx, &running, 60, request+"flood\r\n", "X: y\r\n")
 			flood(ctx, &running, 60, "POST /none/x HTTP/1.1\r\nHost: h\r\nRequest-Id: flood\r\nContent-Length: 16000000\r\n\r\n", "z")
 			flood(ctx, &running, 20, "", request+"flood\r\n"+strings.Repeat("X: y\r\n", 2500)+"\r\n")
-			idle(ctx, t, 1500)
-			most := 0
-			for ctx.Err() == nil {
-				most = max(most, i.anonymousBytes())
-				time.Sleep(2 * time.Millisecond)
-			}
 			running.Wait()
+			<-sampled()
 			t.Logf("at most %d MB of %d; pooled %v; keyed %v", most>>20, memoryMB, pooled, keyed)
 			require.Less(t, most>>20, memoryMB)
 			require.Positive(t, most)
