Look again whether a server has ended while its connections are closed

What could happen: a request that ends servers is sent to the next one, since the end of the first was not seen.

Cause: an idle connection that is still open shows that a server lives. The connections of a process that has ended are closed one after the other, and the attempt's may be the first.

The unit test shows the mechanism.

Change: an idle connection that is open is looked at once more after 10 ms.

TestEndIsSeenWhileConnectionsAreClosed failed before.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -294,23 +294,38 @@
 	p.count("connections.closed." + reason)
 }
 
+// endSettleTime is how long the connections of a process that has ended may seem open: they are
+// closed one after the other.
+const endSettleTime = 10 * time.Millisecond
+
 // HasEnded reports whether nothing listens at a server's address any more. It needs no new
-// connection while an idle one is open, and keeps one that it opens. A partition may look the
-// same.
+// connection while an idle one stays open, and keeps one that it opens. A partition may look
+// the same.
 func (p *Pool) HasEnded(ctx context.Context, id, address string, limits Limits) bool {
-	c, err := p.get(ctx, id, address, limits, hashID(""))
-	if err != nil {
-		attemptError := &Error{}
-		return errors.As(err, &attemptError) && attemptError.IsRefused
-	}
-	if c.idleFor == 0 { // new
-		c.idleSince, c.idleFor = time.Now(), idleLimit
+	for try := 1; ; try++ {
+		c, err := p.get(ctx, id, address, limits, hashID(""))
+		if err != nil {
+			attemptError := &Error{}
+			return errors.As(err, &attemptError) && attemptError.IsRefused
+		}
+		isNew := c.idleFor == 0
+		if isNew {
+			c.idleSince, c.idleFor = time.Now(), idleLimit
+		}
+		p.keep(c)
+		if isNew || try > 1 {
+			return false
+		}
+		time.Sleep(endSettleTime)
 	}
+}
+
+// keep adds a connection to the idle ones.
+func (p *Pool) keep(c *connection) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[c.key]
 	s.idle = append(s.idle, c)
-	return false
 }
 
 func (p *Pool) dial(ctx context.Context, key, address string) (*connection, error) {
@@ -353,10 +368,7 @@
 	if c.idleLimit > 0 {
 		c.idleFor = min(c.idleFor, c.idleLimit)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.servers[c.key]
-	s.idle = append(s.idle, c)
+	p.keep(c)
 }
 
 func (p *Pool) drop(c *connection, reason string) {
--- a/internal/entry/backends/backends_test.go
+++ b/internal/entry/backends/backends_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -325,6 +326,40 @@
 	require.Zero(t, open)
 }
 
+// Guards against a server whose end is not seen, since one of its connections breaks a moment
+// before another one: the request that ends servers would be sent to the next one.
+func TestEndIsSeenWhileConnectionsAreClosed(t *testing.T) {
+	var mu sync.Mutex
+	connections := map[net.Conn]bool{}
+	s := serve(t, func(_ int, r *http.Request, c net.Conn) {
+		mu.Lock()
+		defer mu.Unlock()
+		connections[c] = true
+		if id := r.Header.Get("Request-Id"); id != "deadly" {
+			reply(c, id, "")
+			return
+		}
+		_ = c.Close()
+		time.AfterFunc(3*time.Millisecond, func() {
+			mu.Lock()
+			defer mu.Unlock()
+			for open := range connections {
+				_ = open.Close()
+			}
+		})
+	})
+	p := pool()
+	limits, address := backends.Limits{Open: 4}, s.listener.Addr().String()
+	_, err := do(p, s, "first")
+	require.NoError(t, err)
+	_, err = p.Do(t.Context(), "s", address, backends.Limits{Open: 4, IsNew: true}, request("another"))
+	require.NoError(t, err)
+	_ = s.listener.Close()
+	_, err = do(p, s, "deadly")
+	require.Error(t, err)
+	require.True(t, p.HasEnded(t.Context(), "s", address, limits))
+}
+
 // Guards against a request on trial that is written to an idle connection which a partition has
 // cut already: it would count as one that ended the server.
 func TestNewConnectionIsUsedIfRequired(t *testing.T) {
