--- a/internal/entry/callers/memory_test.go
+++ b/internal/entry/callers/memory_test.go
@@ -1,10 +1,13 @@
 package callers
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +18,8 @@
 	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/entry/backends"
+	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
 )
 
 // longHead returns a request whose header has many short fields, which take far more memory than
@@ -106,3 +111,69 @@
 		})
 	}
 }
+
+// idProtocol reads the id of a response only.
+type idProtocol struct{ redwingstall.GatewayProtocol }
+
+func (idProtocol) ParseResponse(header http.Header) redwingstall.ResponseMeta {
+	return redwingstall.ResponseMeta{ID: header.Get("Request-Id")}
+}
+
+// poolHandler passes requests to a server.
+type poolHandler struct {
+	pool    *backends.Pool
+	address string
+	sent    atomic.Int64
+}
+
+func (h *poolHandler) Serve(ctx context.Context, r dispatch.Request) backends.Response {
+	id := fmt.Sprint(h.sent.Add(1))
+	response, err := h.pool.Do(ctx, "s", h.address, backends.Limits{Open: 10}, backends.Request{
+		Method: r.Method, Target: r.Target, Host: r.Host, Header: http.Header{"Request-Id": {id}}, ID: id,
+	})
+	if err != nil {
+		return backends.Response{Status: http.StatusBadGateway, Header: http.Header{}}
+	}
+	return response
+}
+
+// Guards against the memory of responses that stays reserved after they were written, or after
+// their client has gone.
+func TestMemoryOfResponsesIsReleased(t *testing.T) {
+	const size = 4 << 20 // far more than sockets buffer
+	origin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		_, _ = w.Write(make([]byte, size))
+	}))
+	t.Cleanup(origin.Close)
+	pool := backends.NewPool(idProtocol{}, 256<<20, func(string) {})
+	server, err := Listen("127.0.0.1:0", Config{
+		Handler: &poolHandler{pool: pool, address: origin.Listener.Addr().String()}, MaxBuffered: testMaxBuffered, Log: slog.New(slog.DiscardHandler),
+		Limits: func() redwingstall.CallerLimits { return defaultLimits }, Count: func(string) {},
+	})
+	require.NoError(t, err)
+	go server.Run()
+	t.Cleanup(func() { server.Close(context.Background()) })
+	awaitHeld := func(isHeld bool) {
+		t.Helper()
+		require.Eventually(t, func() bool { return (pool.HeldBytes() > 0) == isHeld }, clientTimeout, time.Millisecond)
+	}
+	const request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, isRead := range map[string]bool{"written": true, "clientGone": false} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", server.Address())
+			require.NoError(t, err)
+			defer c.Close()
+			send(t, c, strings.Repeat(request, 3))
+			awaitHeld(true)
+			if isRead {
+				_, err := io.CopyN(io.Discard, c, 3*size)
+				require.NoError(t, err)
+			} else {
+				require.NoError(t, c.Close())
+			}
+			awaitHeld(false)
+		})
+	}
+}
