Do not ask servers that answer without end while there is no other

Callers saw: 502 for requests that may run once, and long waits, while the only servers that are left answer each request without end.

Cause: ejected servers are used if there is no other. That helps with servers that fail some requests; one that answers without end fails each, and takes 8 MB of the link and of the memory for it.

Change: a server with two endless responses in a row is left out until its ejection ends (0.6 to 2.4 s). If no other is left, requests are refused unsent, with the time until the first of them is asked again.

TestServersThatAnswerWithoutEndAreNotAsked failed before (40 sent, 6 allowed).

--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -120,6 +120,8 @@
 	// is why the server is ejected.
 	HasEjectionChanged bool
 	Reason             EjectionReason
+	// EjectedFor is how long an ejection by this instance's own attempts still lasts.
+	EjectedFor time.Duration
 	// FailureRate is the share of failures in the recent attempts of all instances.
 	FailureRate float64
 }
@@ -154,6 +156,7 @@
 		Completion:  completion,
 		IsEjected:   reason != EjectionNone,
 		Reason:      reason,
+		EjectedFor:  max(s.health.ejectedUntil.Sub(now), 0),
 		FailureRate: s.failureRate(now),
 
 		PeerConnections: s.peerConnections(now),
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -449,6 +449,24 @@
 	}
 }
 
+// Guards against servers that answer each request without end and are asked again and again, since
+// no other is left. Found by the soak: 45 requests in a second, each answered 502.
+func TestServersThatAnswerWithoutEndAreNotAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newFixture(func(int, string, backends.Request) (backends.Response, error) { return backends.Response{}, endless })
+		answer := backends.Response{}
+		for range 40 {
+			answer = w.get(t.Context(), "/unsafe/x")
+			time.Sleep(5 * time.Millisecond)
+		}
+		require.LessOrEqual(t, len(w.backends.sent), 6, "two for each server")
+		require.Equal(t, 503, answer.Status, "it is not sent, so that it may be sent again")
+		require.NotEmpty(t, answer.Header.Get("Retry-After"))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 502, w.get(t.Context(), "/unsafe/x").Status, "a request probes one of them")
+	})
+}
+
 // Guards against requests to ejected servers under overload. At twice the capacity
 // few servers have room in their queues. The request is rejected at once as not
 // executed, instead of being sent to an ejected server.
--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/routing/placement"
 )
 
 // choosePooled selects the server with the lowest cost among a random sample.
@@ -24,8 +25,21 @@
 	canAccept := func(c *choice) bool { return d.hasWarmupCapacity(s, c.server, now) && d.hasPermitRoom(j, c, now) }
 	best, fastest := d.sample(s, j, usable, now, func(c *choice) bool { return canAccept(c) && !c.estimate.IsEjected })
 	if fastest == nil {
-		// Ejected servers are used only if there is no other.
-		best, fastest = d.sample(s, j, usable, now, canAccept)
+		// Ejected servers are used only if there is no other, and those that answer without end
+		// not at all: such a response helps nobody, and takes the link and the memory of others.
+		endless := time.Duration(0)
+		best, fastest = d.sample(s, j, usable, now, func(c *choice) bool {
+			if c.estimate.Reason == placement.EjectionEndless {
+				if endless == 0 || c.estimate.EjectedFor < endless {
+					endless = c.estimate.EjectedFor
+				}
+				return false
+			}
+			return canAccept(c)
+		})
+		if fastest == nil && endless > 0 {
+			return nil, rejection{reason: ReasonNoServer, retryAfter: endless}
+		}
 	}
 	switch {
 	case fastest == nil:
