Reserve nothing for responses without a body

A holder without bytes was forgotten with the end of its next reservation, and an empty one that was still kept then ended the process.

TestNoBytesNeedNoReservation failed before (panic).

--- a/internal/entry/memory/budget.go
+++ b/internal/entry/memory/budget.go
@@ -1,5 +1,5 @@
-// Package memory divides the memory of a process among the backend servers whose responses it
-// holds.
+// Package memory divides the memory of a process among those for whom it holds bytes, such as
+// the backend servers whose responses it reads.
 package memory
 
 import (
@@ -58,20 +58,23 @@
 	budget  *Budget
 	holder  string
 	bytes   int64
-	isSet   bool
 	granted chan struct{}
 	revoke  func()
-	// isRevoked is set once revoke was called.
-	isRevoked bool
+	// isSet is set while the bytes are reserved, and isRevoked once revoke was called.
+	isSet, isRevoked bool
 }
 
 // Reserve reserves bytes for a holder. It waits until there is enough, at most until the context
-// ends, whose error it returns then. It returns [ErrTooLarge] if there will never be enough.
+// ends, whose error it returns then. It returns [ErrTooLarge] if there will never be enough, and
+// nil for no bytes.
 //
 // The budget calls revoke, at most once and until Keep, when others need the bytes. Their holder
 // must release them soon after. The function must not block or use the budget. Nil makes them
 // irrevocable.
 func (b *Budget) Reserve(ctx context.Context, name string, bytes int64, revoke func()) (*Reservation, error) {
+	if bytes <= 0 {
+		return nil, nil
+	}
 	if bytes > b.limit {
 		return nil, errors.Wrapf(ErrTooLarge, "%d of %d bytes", bytes, b.limit)
 	}
--- a/internal/entry/memory/budget_test.go
+++ b/internal/entry/memory/budget_test.go
@@ -208,3 +208,13 @@
 		require.Len(t, granted, 2)
 	})
 }
+
+// Guards against a holder without bytes that is forgotten while its reservation is kept.
+func TestNoBytesNeedNoReservation(t *testing.T) {
+	b := memory.NewBudget(100)
+	empty := reserve(t, b, "a", 0)
+	reserve(t, b, "a", 10).Release()
+	empty.Keep(0)
+	empty.Release()
+	require.Zero(t, b.Used())
+}
