Count only servers that end as ended under a deadly request

Cause in the soak: by the logs charges-8 ended under deadly-0, and charges-10 under deadly-3, on trial, which convicted the request at 35.549. deadly-1 and deadly-2 ran at charges-5, which other faults had taken from the list: it went on, and only the connection broke, twice ("unexpected EOF"). No instance can tell this from a lost answer, and both were counted as ends.

Change: a server counts that ends. Two had ended.

--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -32,24 +32,21 @@
 	}
 }
 
-// endServer ends a server under a deadly request, and replaces it after a time.
+// endServer ends a server under a deadly request, and replaces it after a time. A server that is
+// still needed goes on: only the connection of the request breaks, which shows no end.
 func (s *Soak) endServer(server *platformtest.Server, path string) {
+	ended := s.backendOf(server)
+	if ended == nil || !s.removeBackend(ended) {
+		return
+	}
 	s.mu.Lock()
 	s.deadlyEnds[path]++
-	ends, ended := s.deadlyEnds[path], (*backend)(nil)
-	for _, b := range s.backends {
-		if b.Server == server {
-			ended = b
-		}
-	}
+	ends := s.deadlyEnds[path]
 	s.mu.Unlock()
 	s.printf("%s ended under %s", server.ID, path)
 	if ends > maxDeadlyEnds {
 		s.ledger.RecordViolation("%d servers ended under %s", ends, path)
 	}
-	if ended == nil || !s.removeBackend(ended) {
-		return // the service needs the server, which goes on
-	}
 	ended.proxy.close()
 	go func() {
 		server.Crash()
@@ -58,3 +55,15 @@
 		s.replace(ended.Service)
 	}()
 }
+
+// backendOf returns the backend of a server, or nil if other faults have it.
+func (s *Soak) backendOf(server *platformtest.Server) *backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.backends {
+		if b.Server == server {
+			return b
+		}
+	}
+	return nil
+}
