--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/redwingstall/redwingstall/internal/fleet/presence"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/node/boottime"
+	"github.com/redwingstall/redwingstall/internal/node/features"
 	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/observe/metrics"
 	"github.com/redwingstall/redwingstall/internal/ownership/leader"
@@ -120,6 +121,7 @@
 	g.leader = leader.NewLeader(leader.Config{
 		Name: node.Name, Store: platform.Store, OwnerClient: platform.OwnerClient, View: g.view,
 		IsFirstStart: node.IsFirstStart, Load: capacityEstimator{g}, Clock: boottime.Now, MaxGrantTTL: node.Bounds.MaxGrantTTL, Log: log,
+		Features: g.features,
 		ObserveResponse: g.observeOrderResponse,
 	})
 	g.callers, err = callers.Listen(node.FrontAddress, callers.Config{
@@ -152,6 +154,11 @@
 	}
 }
 
+// features returns the optional features that the current configuration calls for.
+func (g *Gateway) features() features.Set {
+	return features.Resolve(g.node.Features, g.view.Snapshot().Config)
+}
+
 // instances returns the instances that may coordinate the limits of servers: those that stay,
 // or all if none does.
 func (g *Gateway) instances() serverlimit.Instances {
--- a/internal/node/settings/settings.go
+++ b/internal/node/settings/settings.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/redwingstall/redwingstall/internal/node/features"
 )
 
 // Bounds are the time limits and budgets that the platform requires the router to
@@ -37,6 +39,7 @@
 	// MemoryBytes is the memory limit above which the platform kills the process.
 	MemoryBytes int64
 	LinkMbps    float64
+	Features    features.Modes
 	Bounds      Bounds
 }
 
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -15,6 +15,7 @@
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/presence"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/features"
 	"github.com/redwingstall/redwingstall/internal/ownership/assign"
 	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
 )
@@ -97,7 +98,9 @@
 	ObserveResponse func(server shardmap.Server, meta redwingstall.ResponseMeta, sentAt time.Time)
 	// MaxGrantTTL is the configured limit of a grant's time to live.
 	MaxGrantTTL time.Duration
-	Log         *slog.Logger
+	// Features returns the optional features in use. Nil means none.
+	Features func() features.Set
+	Log      *slog.Logger
 }
 
 // Leader campaigns for leadership, and writes the owner maps while it leads.
@@ -150,6 +153,13 @@
 	return &Leader{Config: parts, done: make(chan struct{}), wakeUps: make(chan struct{}, 1)}
 }
 
+func (l *Leader) features() features.Set {
+	if l.Features == nil {
+		return features.Set{}
+	}
+	return l.Features()
+}
+
 // Done is closed when Run has returned.
 func (l *Leader) Done() <-chan struct{} { return l.done }
 
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/features"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/routing/table"
 	"github.com/redwingstall/redwingstall/internal/traffic/budget"
@@ -110,6 +111,8 @@
 	// StopAt returns when the instance cancels the requests that it still serves, or the zero
 	// time while it does not shut down.
 	StopAt func() time.Time
+	// Features returns the optional features in use. Nil means none.
+	Features func() features.Set
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -126,6 +129,13 @@
 	warmups  placement.Timers
 }
 
+func (d *Dispatcher) features() features.Set {
+	if d.Features == nil {
+		return features.Set{}
+	}
+	return d.Features()
+}
+
 // NewDispatcher returns a dispatcher.
 func NewDispatcher(parts Config) *Dispatcher {
 	return &Dispatcher{Config: parts}
