--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -121,7 +121,7 @@
 	g.leader = leader.NewLeader(leader.Config{
 		Name: node.Name, Store: platform.Store, OwnerClient: platform.OwnerClient, View: g.view,
 		IsFirstStart: node.IsFirstStart, Load: capacityEstimator{g}, Clock: boottime.Now, MaxGrantTTL: node.Bounds.MaxGrantTTL, Log: log,
-		Features: g.features,
+		Features:        g.features,
 		ObserveResponse: g.observeOrderResponse,
 	})
 	g.callers, err = callers.Listen(node.FrontAddress, callers.Config{
