Authenticate requests by the keys of client accounts

The configuration may have a table of client accounts. A request then needs the key of one, unless its route allows anonymous requests. The key is removed from everything that is forwarded, and the server gets the account's name.

Each instance knows since when its view has had all changes of the store: the sending of the store call that showed it, on the clock that counts suspensions. Updates and heartbeats carry the age where there are client accounts. The receiver converts it by the fastest update of the sender, so that waits in buffers do not make it younger.

Dispatch has the optional interface Quota. A rejected head is logged without the text that the parser quotes, which may be a key.

--- a/gateway.go
+++ b/gateway.go
@@ -53,6 +53,8 @@
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int
 	Parts    []WeightedService
+	// AllowsAnonymous is set if requests need no API key.
+	AllowsAnonymous bool
 }
 
 // ServiceSpec is the operator's configuration of one service.
@@ -70,6 +72,24 @@
 	Sharded bool
 }
 
+// ClientAccount is the operator's configuration of one client account.
+type ClientAccount struct {
+	Name string
+	// Keys are the account's API keys. They are left out of JSON, so that no log or record
+	// contains them.
+	Keys []string `json:"-"`
+	// Priority takes precedence over that of a route if HasPriority is set; 0 is the highest.
+	Priority    int
+	HasPriority bool
+	// Rate is the number of requests per second from all instances together, and Burst how
+	// many more may arrive at once. A rate of zero means no limit.
+	Rate  float64
+	Burst float64
+}
+
+// String returns the name: a formatted account does not show its keys.
+func (a ClientAccount) String() string { return a.Name }
+
 // CallerLimits limit the size and the duration of a client's requests.
 type CallerLimits struct {
 	HeaderBytes   int
@@ -84,8 +104,14 @@
 	Routes   []Route
 	Services map[string]ServiceSpec
 	Limits   CallerLimits
+	// Accounts are the client accounts. Without any, requests need no API key.
+	Accounts []ClientAccount
 }
 
+// HasAccounts reports whether requests need an API key, unless their route allows anonymous
+// ones.
+func (c *Configuration) HasAccounts() bool { return len(c.Accounts) > 0 }
+
 // BackendEntry is a backend server's own entry in service discovery.
 type BackendEntry struct {
 	ID            string
@@ -218,6 +244,12 @@
 	// Key of a request to a sharded service.
 	Key    int
 	HasKey bool
+	// Credential is the API key. It is set only if HasCredential is.
+	Credential    string `json:"-"`
+	HasCredential bool
+	// IsCredentialUnreadable is set if the request carries a credential that is no API key,
+	// or several.
+	IsCredentialUnreadable bool
 }
 
 // ServerLoad is the load that a backend server reports with a response.
@@ -264,6 +296,9 @@
 	ParseRequest(header http.Header) (RequestMeta, error)
 	// SetAttempt sets the headers of one attempt at a backend server.
 	SetAttempt(header http.Header, server string, left time.Duration)
+	// SetAccount removes the credential from a request's headers, and sets the name of the
+	// client account that it belongs to. An empty name removes what the client has sent.
+	SetAccount(header http.Header, name string)
 	// ParseResponse parses a response's headers.
 	ParseResponse(header http.Header) ResponseMeta
 	// SetRetryAfter sets the time after which the client should retry.
--- a/internal/entry/callers/parse.go
+++ b/internal/entry/callers/parse.go
@@ -44,7 +44,7 @@
 	}
 	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 	if err != nil {
-		return nil, &statusError{http.StatusBadRequest, "malformed request: " + err.Error()}
+		return nil, &statusError{http.StatusBadRequest, "malformed request: " + withoutQuote(err)}
 	}
 	if request.ProtoMajor != 1 || request.Host == "" || !strings.HasPrefix(request.RequestURI, "/") {
 		return nil, &statusError{http.StatusBadRequest, "not an HTTP/1 request with a host and a path"}
@@ -52,6 +52,16 @@
 	return request, nil
 }
 
+// withoutQuote returns what an error says before it quotes the request, which may contain an API
+// key: the reason is logged.
+func withoutQuote(err error) string {
+	text := err.Error()
+	if end := strings.IndexAny(text, ":\""); end >= 0 {
+		text = text[:end]
+	}
+	return strings.TrimSpace(text)
+}
+
 // readHeaderBlock reads lines up to and including the first empty one.
 func readHeaderBlock(reader *bufio.Reader, limit int, memory memoryReserver) ([]byte, error) {
 	head, isReserved := []byte{}, false
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -15,6 +15,7 @@
 
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/boottime"
 )
 
 const (
@@ -79,6 +80,10 @@
 	// IsReminder is set if the changes are not those up to UpTo, but what the sender knows
 	// from an earlier era and the store lacks or has older.
 	IsReminder bool
+	// ConfirmedAt is when the store call was sent whose answer showed that there were no
+	// further changes up to UpTo, on the clock of package boottime of the process that holds
+	// the update. It is zero if unknown. The relay carries its age.
+	ConfirmedAt time.Duration `cbor:"-"`
 }
 
 // Relay carries updates between instances. Delivery is not guaranteed.
@@ -101,6 +106,8 @@
 	done    chan struct{}
 	// random returns numbers from 0 to 1.
 	random func() float64
+	// clock is the clock of package boottime.
+	clock func() time.Duration
 
 	// position is the position in the store's history up to which the view is complete.
 	position redwingstall.Position
@@ -131,7 +138,7 @@
 
 // NewFollower returns a follower; Run starts it.
 func NewFollower(self string, store redwingstall.MetadataStore, decoder redwingstall.Decoder, v *view.View, relay Relay, log *slog.Logger) *Follower {
-	return &Follower{self: self, store: store, decoder: decoder, view: v, relay: relay, log: log, done: make(chan struct{}), random: rand.Float64}
+	return &Follower{self: self, store: store, decoder: decoder, view: v, relay: relay, log: log, done: make(chan struct{}), random: rand.Float64, clock: boottime.Now}
 }
 
 // Done returns a channel that is closed when Run returns.
@@ -180,6 +187,7 @@
 }
 
 func (f *Follower) loadAll(ctx context.Context) error {
+	sentAt := f.clock()
 	items, at, err := f.store.Range(ctx, "")
 	if err != nil {
 		return err
@@ -192,6 +200,7 @@
 	records := f.decode(changes)
 	kept := f.view.Load(time.Now(), at.Era, eventsOf(records))
 	f.view.MarkCurrent(time.Now())
+	f.view.Confirm(sentAt)
 	f.log.Info("loaded all records from the store", "era", at.Era, "revision", at.Revision, "items", len(items))
 	if f.isLoaded && at.Era != f.position.Era {
 		f.reminders = reminders{records: f.memory.recover(records), until: time.Now().Add(reminderPeriod)}
@@ -263,22 +272,23 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	broadcasts := f.isBroadcaster()
-	pollTimeout := fallbackPollTimeout
 	if broadcasts {
-		pollTimeout = watcherPollTimeout
-		go f.sendHeartbeats(ctx, f.position, f.lastConfirmed)
+		go f.sendHeartbeats(ctx, f.position, f.lastConfirmed, f.confirmedAt())
 	}
-	after := f.position
-	changes, at, err := f.store.Watch(ctx, "", after, pollTimeout)
+	after, sentAt := f.position, f.clock()
+	changes, at, err := f.store.Watch(ctx, "", after, f.pollTimeout(broadcasts, sentAt))
 	if err != nil {
 		return err
 	}
 	f.recordConfirmation()
 	isUrgent := f.apply(changes, at.Revision)
 	f.view.MarkCurrent(time.Now())
+	f.view.Confirm(sentAt)
 	if len(changes) > 0 {
 		if broadcasts {
-			f.relay.Broadcast(Update{Era: int64(after.Era), After: int64(after.Revision), UpTo: int64(f.position.Revision), Changes: changes})
+			f.relay.Broadcast(Update{
+				Era: int64(after.Era), After: int64(after.Revision), UpTo: int64(f.position.Revision), Changes: changes, ConfirmedAt: f.confirmedAt(),
+			})
 		}
 		f.awaitBatch(ctx, isUrgent)
 	}
@@ -306,9 +316,10 @@
 
 // sendHeartbeats broadcasts the position repeatedly, so that receivers detect lost
 // updates. It stops when the store's last answer is older than maxConfirmationAge.
-func (f *Follower) sendHeartbeats(ctx context.Context, at redwingstall.Position, confirmed time.Time) {
+// The poll under way has confirmed nothing yet, so heartbeats carry what the one before has.
+func (f *Follower) sendHeartbeats(ctx context.Context, at redwingstall.Position, confirmed time.Time, confirmedAt time.Duration) {
 	for ctx.Err() == nil && time.Since(confirmed) < maxConfirmationAge {
-		f.relay.Broadcast(Update{Era: int64(at.Era), After: int64(at.Revision), UpTo: int64(at.Revision)})
+		f.relay.Broadcast(Update{Era: int64(at.Era), After: int64(at.Revision), UpTo: int64(at.Revision), ConfirmedAt: confirmedAt})
 		sleep(ctx, heartbeatInterval)
 	}
 }
@@ -396,6 +407,7 @@
 func (f *Follower) markCurrent(u Update) {
 	if !u.IsRepair {
 		f.view.MarkCurrent(time.Now())
+		f.view.Confirm(u.ConfirmedAt)
 	}
 }
 
@@ -416,6 +428,7 @@
 }
 
 func (f *Follower) catchUp(ctx context.Context) error {
+	sentAt := f.clock()
 	changes, at, err := f.store.Watch(ctx, "", f.position, catchUpPollTimeout)
 	if err != nil {
 		return f.countSlowCatchUp(err)
@@ -423,6 +436,7 @@
 	f.recordConfirmation()
 	f.apply(changes, at.Revision)
 	f.view.MarkCurrent(time.Now())
+	f.view.Confirm(sentAt)
 	return nil
 }
 
--- /dev/null
+++ b/internal/fleet/peers/confirmation.go
@@ -0,0 +1,100 @@
+package peers
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/redwingstall/redwingstall/internal/fleet/follow"
+)
+
+// confirmationPrefix is the first byte of an update that carries the age of its content: the
+// store call was sent so long ago whose answer showed that there were no further changes. It
+// cannot be the first byte of an encoded datagram.
+const confirmationPrefix = 0x02
+
+// confirmationBytes is the length of a confirmation with its prefix.
+const confirmationBytes = 1 + 3*8
+
+// confirmation is the age of an update's content, and when it was sent on the sender's own clock,
+// which counts suspensions. The zero value is of an update without one.
+type confirmation struct {
+	process uint64
+	sentAt  time.Duration
+	age     time.Duration
+}
+
+// confirm puts the age of an update's content before the encoded update.
+func (e *Exchange) confirm(encoded []byte, update follow.Update) []byte {
+	if update.ConfirmedAt == 0 {
+		return encoded
+	}
+	now := e.clock()
+	stamped := make([]byte, 1, confirmationBytes+len(encoded))
+	stamped[0] = confirmationPrefix
+	stamped = binary.LittleEndian.AppendUint64(stamped, e.process)
+	stamped = binary.LittleEndian.AppendUint64(stamped, uint64(now))
+	stamped = binary.LittleEndian.AppendUint64(stamped, uint64(now-update.ConfirmedAt))
+	return append(stamped, encoded...)
+}
+
+// cutConfirmation splits a received datagram.
+func cutConfirmation(raw []byte) (confirmation, []byte) {
+	if len(raw) < confirmationBytes || raw[0] != confirmationPrefix {
+		return confirmation{}, raw
+	}
+	number := func(i int) uint64 { return binary.LittleEndian.Uint64(raw[1+8*i:]) }
+	return confirmation{process: number(0), sentAt: time.Duration(number(1)), age: time.Duration(number(2))}, raw[confirmationBytes:]
+}
+
+const (
+	// clockSamples and clockPeriod are how many updates of a process are needed, and over
+	// which time, before what it confirms counts. The delay of the first one is unknown.
+	clockSamples = 3
+	clockPeriod  = 250 * time.Millisecond
+	// clockDrift bounds by how much the clocks of two machines diverge in a second.
+	clockDrift = time.Millisecond
+	// maxSenders bounds the processes whose clocks are known. Only watchers send updates.
+	maxSenders = 64
+)
+
+// senderClock relates the clock of another process to that of this one.
+type senderClock struct {
+	process uint64
+	// offset is the least difference that was seen between the two clocks, at updatedAt. It
+	// is the true difference plus the delay of the fastest update.
+	offset    time.Duration
+	updatedAt time.Duration
+	firstAt   time.Duration
+	samples   int
+}
+
+// senderClocks convert what other processes confirm to the clock of this one. An update may have
+// waited anywhere on its way: in a buffer of a process or a machine that was suspended, here, at
+// the sender or at a reporter that forwards it. So its age on arrival is not the one that it
+// carries; but no update arrives before it was sent, and the fastest one bounds how the clocks
+// differ. The zero value knows none.
+type senderClocks struct{ byName map[string]*senderClock }
+
+// confirmedAt returns when the content of an update was confirmed, on this process's clock, or
+// zero if that is not known yet.
+func (s *senderClocks) confirmedAt(now time.Duration, from string, stamp confirmation) time.Duration {
+	if stamp.process == 0 || stamp.age < 0 || stamp.sentAt < stamp.age {
+		return 0
+	}
+	sample := now - stamp.sentAt
+	clock := s.byName[from]
+	if clock == nil || clock.process != stamp.process {
+		if s.byName == nil || len(s.byName) >= maxSenders {
+			s.byName = map[string]*senderClock{}
+		}
+		clock = &senderClock{process: stamp.process, offset: sample, updatedAt: now, firstAt: now}
+		s.byName[from] = clock
+	}
+	drift := time.Duration((now - clock.updatedAt).Seconds() * float64(clockDrift))
+	clock.offset, clock.updatedAt = min(sample, clock.offset+drift), now
+	clock.samples++
+	if clock.samples < clockSamples || now-clock.firstAt < clockPeriod {
+		return 0
+	}
+	return max(stamp.sentAt-stamp.age+clock.offset, 0)
+}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/boottime"
 	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
@@ -101,6 +103,11 @@
 	// forwarded is the position up to which updates were forwarded. Only the receiving
 	// goroutine uses it.
 	forwarded redwingstall.Position
+	// clock is the clock of package boottime, and process tells this process from others of
+	// the same name. Only the receiving goroutine uses senders.
+	clock   func() time.Duration
+	process uint64
+	senders senderClocks
 	// indexedSnapshot is the snapshot that idsByShortID was built from.
 	indexedSnapshot *view.Snapshot
 	idsByShortID    map[uint32]string
@@ -126,6 +133,7 @@
 	return &Exchange{
 		self: self, socket: socket, view: v, estimator: e, keys: keys, count: count, log: log,
 		updates: make(chan follow.Update, 64), done: make(chan struct{}),
+		clock: boottime.Now, process: rand.Uint64(),
 	}
 }
 
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -33,11 +33,16 @@
 			}
 			continue
 		}
+		received := e.clock()
+		stamp, encoded := cutConfirmation(buffer[:n])
 		var message datagram
-		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
+		if err := cbor.Unmarshal(encoded, &message); err != nil {
 			e.log.Warn("datagram decoding failed", "bytes", n, "error", err.Error())
 			continue
 		}
+		if message.Update != nil {
+			message.Update.ConfirmedAt = e.senders.confirmedAt(received, message.From, stamp)
+		}
 		e.handle(time.Now(), message, buffer[:n], sender)
 	}
 }
--- a/internal/fleet/peers/updates.go
+++ b/internal/fleet/peers/updates.go
@@ -54,6 +54,7 @@
 		e.log.Error("datagram encoding failed", "error", err.Error())
 		return nil
 	}
+	encoded = e.confirm(encoded, update)
 	if len(encoded) <= maxUpdateBytes {
 		return []encodedUpdate{{encoded, hasOnlyOwnerMaps(update)}}
 	}
@@ -84,6 +85,7 @@
 	middle := int64(changes[at-1].Revision)
 	first, second = update, update
 	first.UpTo, first.Changes = middle, changes[:at]
+	first.ConfirmedAt = 0 // what was confirmed includes the second part
 	second.After, second.Changes = middle, changes[at:]
 	return first, second, true
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -9,9 +9,11 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/access/accounts"
 	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
 	"github.com/redwingstall/redwingstall/internal/routing/table"
 )
@@ -55,10 +57,13 @@
 
 // Snapshot is one consistent, immutable state.
 type Snapshot struct {
-	Config  *redwingstall.Configuration
-	Routes  *table.Table
-	Servers map[string][]*Server
-	ByID    map[string]*Server
+	Config *redwingstall.Configuration
+	Routes *table.Table
+	// Accounts finds the client accounts of the configuration by their keys, which Config
+	// does not contain.
+	Accounts *accounts.Directory
+	Servers  map[string][]*Server
+	ByID     map[string]*Server
 	// Evacuated holds the evacuated failure domains and when their evacuation may have
 	// begun, which is zero if that is unknown.
 	Evacuated map[string]time.Time
@@ -102,6 +107,9 @@
 	currentAt time.Time
 	retained  retained
 	leaving   leavingServers
+	// confirmedAt is when the view is known to have had all changes of the store, on the
+	// clock of package boottime.
+	confirmedAt atomic.Int64
 }
 
 // maxCurrentAge is the age of the last current view up to which a change counts as made
@@ -220,6 +228,7 @@
 	next := &Snapshot{
 		Config:    previous.Config,
 		Routes:    previous.Routes,
+		Accounts:  previous.Accounts,
 		ByID:      make(map[string]*Server, len(previous.ByID)),
 		Evacuated: make(map[string]time.Time, len(previous.Evacuated)),
 		Era:       previous.Era,
@@ -322,9 +331,14 @@
 	if next.Config != nil && c.Version <= next.Config.Version {
 		return
 	}
+	if next.Config != nil && next.Config.HasAccounts() && !c.HasAccounts() {
+		v.log.Warn("no client accounts any more, requests need no key", "version", c.Version)
+	}
+	next.Accounts = accounts.NewDirectory(c.Accounts)
+	c.Accounts = withoutKeys(c.Accounts)
 	next.Config = &c
 	next.Routes = table.NewTable(c.Routes)
-	v.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes))
+	v.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "accounts", len(c.Accounts), "keys", next.Accounts.Len())
 	for _, r := range c.Routes {
 		if !r.Kind.IsKnown() {
 			v.log.Warn("unknown kind of route, its requests run at most once", "version", c.Version, "route", r.Name, "kind", string(r.Kind))
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/access/accounts"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/entry/callers"
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
@@ -191,6 +192,8 @@
 		DrainTimeout:    bounds.DrainTimeout / 2,
 		EvacuateTimeout: bounds.EvacuationTimeout / 2,
 		StopAt:          g.stopTime,
+		Accounts:        accounts.Policy{StrictRevocation: bounds.StrictRevocation, RevocationTimeout: bounds.RevocationTimeout},
+		Clock:           boottime.Now,
 		Random:          rand.Float64,
 	})
 }
--- a/internal/node/settings/settings.go
+++ b/internal/node/settings/settings.go
@@ -23,6 +23,16 @@
 	WarmupOverrun      float64
 	WarmupSlack        float64
 	DiscoveryRecovery  time.Duration
+	// StrictRevocation requires that no request with an API key runs that was sent later
+	// than RevocationTimeout after the key was removed.
+	StrictRevocation  bool
+	RevocationTimeout time.Duration
+	// QuotaWindow is the time over which the requests of a client account are counted.
+	// QuotaOverrun and QuotaSlack are how far they may exceed the limit in it: as a share of
+	// the limit, and in requests.
+	QuotaWindow  time.Duration
+	QuotaOverrun float64
+	QuotaSlack   float64
 }
 
 // Node describes one instance and its environment on the platform.
--- a/internal/traffic/dispatch/attempt.go
+++ b/internal/traffic/dispatch/attempt.go
@@ -40,6 +40,10 @@
 	j.attempts++
 	j.triedServers[c.server.ID] = true
 	header := backends.Forwardable(j.request.Header)
+	if j.access.isActive {
+		// Again, since a client may name any header as one of its connection only.
+		d.Protocol.SetAccount(header, j.access.name())
+	}
 	began := time.Now()
 	d.Protocol.SetAttempt(header, c.server.ID, j.deadline.Sub(began))
 	d.Estimator.Begin(began, c.server.ID)
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/access/accounts"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/node/features"
@@ -113,6 +114,12 @@
 	StopAt func() time.Time
 	// Features returns the optional features in use. Nil means none.
 	Features func() features.Set
+	// Accounts decides about requests where the configuration has client accounts.
+	Accounts accounts.Policy
+	// Quota limits the requests of client accounts. Nil means no limits.
+	Quota Quota
+	// Clock is the clock of package boottime. Nil means that one.
+	Clock func() time.Duration
 	// Random returns a number in [0, 1).
 	Random func() float64
 }
@@ -143,9 +150,12 @@
 
 // job is the state of one request while it is served.
 type job struct {
-	request  Request
-	meta     redwingstall.RequestMeta
-	route    *table.Route
+	request Request
+	meta    redwingstall.RequestMeta
+	route   *table.Route
+	access  access
+	// priority is that of the client account, else that of the route; 0 is the highest.
+	priority int
 	service  string
 	spec     redwingstall.ServiceSpec
 	deadline time.Time
@@ -184,6 +194,7 @@
 func (d *Dispatcher) Serve(ctx context.Context, request Request) backends.Response {
 	j := &job{request: request, triedServers: map[string]bool{}}
 	answer, reason := d.serve(ctx, j)
+	d.refundUnused(j, reason)
 	j.responses.releaseOthers(answer)
 	d.record(j, answer, reason)
 	return answer
@@ -204,6 +215,9 @@
 	if j.route == nil {
 		return d.routerAnswer(j, http.StatusNotFound, 0), ReasonNoRoute
 	}
+	if answer, reason, isAdmitted := d.checkAccess(j); !isAdmitted {
+		return answer, reason
+	}
 	j.service = j.route.NextService()
 	j.spec = s.Config.Services[j.service]
 	j.deadline = deadline(j)
@@ -351,7 +365,7 @@
 	}
 	d.Counter.Count("requests." + reason)
 	d.Counter.RecordLatency("requests", took)
-	d.Log.Info("request", "id", j.meta.ID, "route", route, "service", j.service, "key", j.meta.Key, "status", answer.Status,
+	d.Log.Info("request", "id", j.meta.ID, "route", route, "account", j.access.name(), "service", j.service, "key", j.meta.Key, "status", answer.Status,
 		"reason", reason, "server", j.lastServer, "attempts", j.attempts, "tookMillis", took.Milliseconds(),
 		"waitedMillis", j.ownerWait.Milliseconds(), "permitMillis", j.permitWait.Milliseconds(), "expectedMillis", j.expectedLatency.Milliseconds(), "queue", j.queueLength,
 		"isReturn", j.isClientRetry, "targetMillis", j.latencyTarget.Sub(j.request.Arrived).Milliseconds(), "view", d.View.Snapshot().Sequence)
--- a/internal/traffic/dispatch/server_limit.go
+++ b/internal/traffic/dispatch/server_limit.go
@@ -51,7 +51,7 @@
 func (d *Dispatcher) servesMoreUrgent(j *job) bool {
 	config := d.View.Snapshot().Config
 	for _, r := range config.Routes {
-		if r.Priority < j.route.Priority && hasPart(r, j.service) {
+		if r.Priority < j.priority && hasPart(r, j.service) {
 			return true
 		}
 	}
