--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -147,7 +147,11 @@
 	}
 	if c.Key == "op/config" {
 		version, err := strconv.ParseInt(string(c.Value), 10, 64)
-		return redwingstall.ConfigurationChanged{Configuration: redwingstall.Configuration{Version: version}}, err
+		configuration := redwingstall.Configuration{Version: version}
+		if version >= firstAccountVersion {
+			configuration.Accounts = []redwingstall.ClientAccount{{Name: "oak", Keys: []string{"k"}}}
+		}
+		return redwingstall.ConfigurationChanged{Configuration: configuration}, err
 	}
 	if id, isEntry := cutPrefix(c.Key, "servers/"); isEntry {
 		if c.Deleted {
@@ -236,11 +240,15 @@
 	store   *fakeStore
 	network *fakeNetwork
 	views   map[string]*view.View
+	began   time.Time
 }
 
+// clock is the clock of package boottime in fake time.
+func (f *fleet) clock() time.Duration { return time.Hour + time.Since(f.began) }
+
 // startFleet runs six instances in three failure domains.
 func startFleet(ctx context.Context) *fleet {
-	f := &fleet{store: newFakeStore(), network: &fakeNetwork{queues: map[string]chan Update{}}, views: map[string]*view.View{}}
+	f := &fleet{store: newFakeStore(), network: &fakeNetwork{queues: map[string]chan Update{}}, views: map[string]*view.View{}, began: time.Now()}
 	names := []string{"a1", "a2", "b1", "b2", "c1", "c2"}
 	for _, name := range names {
 		record, _ := view.PeerRecord(view.Peer{Name: name, Address: "10.0.0.1:1", FailureDomain: name[:1]})
@@ -251,6 +259,7 @@
 		v := view.NewView(log, 2*time.Second)
 		f.views[name] = v
 		follower := NewFollower(name, f.store.connect(name), testDecoder{}, v, f.network.relay(name), log)
+		follower.clock = f.clock
 		f.network.followers = append(f.network.followers, follower)
 		go follower.Run(ctx, alreadyRegistered())
 	}
--- a/internal/fleet/peers/confirmation.go
+++ b/internal/fleet/peers/confirmation.go
@@ -47,10 +47,13 @@
 }
 
 const (
-	// clockSamples and clockPeriod are how many updates of a process are needed, and over
-	// which time, before what it confirms counts. The delay of the first one is unknown.
-	clockSamples = 3
-	clockPeriod  = 250 * time.Millisecond
+	// clockSamples is how many updates of a process must agree on the difference of the
+	// clocks before what it confirms counts: within clockTolerance, and read at least
+	// clockSpacing apart. The delay of the first one is unknown; updates that have waited
+	// together are read at once, and disagree by the time between their sendings.
+	clockSamples   = 3
+	clockTolerance = 100 * time.Millisecond
+	clockSpacing   = 100 * time.Millisecond
 	// clockDrift bounds by how much the clocks of two machines diverge in a second.
 	clockDrift = time.Millisecond
 	// maxSenders bounds the processes whose clocks are known. Only watchers send updates.
@@ -64,8 +67,24 @@
 	// is the true difference plus the delay of the fastest update.
 	offset    time.Duration
 	updatedAt time.Duration
-	firstAt   time.Duration
+	// samples is the number of updates that agree on it, and countedAt when the last one
+	// was counted.
 	samples   int
+	countedAt time.Duration
+}
+
+// add takes a difference into account that was seen at a time.
+func (c *senderClock) add(now, sample time.Duration) {
+	drift := time.Duration((now - c.updatedAt).Seconds() * float64(clockDrift))
+	offset := c.offset + drift
+	switch {
+	case c.samples == 0 || sample < offset-clockTolerance:
+		c.samples, c.countedAt = 1, now // what was seen before had waited
+	case sample <= offset+clockTolerance && now-c.countedAt >= clockSpacing:
+		c.samples++
+		c.countedAt = now
+	}
+	c.offset, c.updatedAt = min(sample, offset), now
 }
 
 // senderClocks convert what other processes confirm to the clock of this one. An update may have
@@ -87,13 +106,10 @@
 		if s.byName == nil || len(s.byName) >= maxSenders {
 			s.byName = map[string]*senderClock{}
 		}
-		clock = &senderClock{process: stamp.process, offset: sample, updatedAt: now, firstAt: now}
+		clock = &senderClock{process: stamp.process, offset: sample, updatedAt: now}
 		s.byName[from] = clock
 	}
-	drift := time.Duration((now - clock.updatedAt).Seconds() * float64(clockDrift))
-	clock.offset, clock.updatedAt = min(sample, clock.offset+drift), now
-	clock.samples++
-	if clock.samples < clockSamples || now-clock.firstAt < clockPeriod {
+	if clock.add(now, sample); clock.samples < clockSamples {
 		return 0
 	}
 	return max(stamp.sentAt-stamp.age+clock.offset, 0)
--- a/internal/fleet/peers/fleet_test.go
+++ b/internal/fleet/peers/fleet_test.go
@@ -166,6 +166,7 @@
 			v := view.NewView(log, 0)
 			views = append(views, v)
 			m.exchange = newExchange(self, m.socket, v, m.estimator, m.keys, func(string, int64) {}, log)
+			m.exchange.clock = fakeClock
 			m.limiter = &serverlimit.Limiter{Self: m.name, Table: &serverlimit.Table{}, Transport: m.exchange, Count: func(string) {}, Log: log, Instances: func() serverlimit.Instances {
 				s := v.Snapshot()
 				return serverlimit.Instances{Names: s.StayingPeers, Version: s.PeersVersion}
@@ -193,6 +194,9 @@
 	})
 }
 
+// fakeClock is the clock of package boottime in fake time.
+func fakeClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 func serverID(i int) string { return fmt.Sprintf("s%04d", i) }
 
 func (m *member) queueLength(server string) float64 {
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -33,15 +33,14 @@
 			}
 			continue
 		}
-		received := e.clock()
 		stamp, encoded := cutConfirmation(buffer[:n])
 		var message datagram
 		if err := cbor.Unmarshal(encoded, &message); err != nil {
 			e.log.Warn("datagram decoding failed", "bytes", n, "error", err.Error())
 			continue
 		}
-		if message.Update != nil {
-			message.Update.ConfirmedAt = e.senders.confirmedAt(received, message.From, stamp)
+		if message.Update != nil && stamp != (confirmation{}) {
+			message.Update.ConfirmedAt = e.senders.confirmedAt(e.clock(), message.From, stamp)
 		}
 		e.handle(time.Now(), message, buffer[:n], sender)
 	}
