Explain refusals by client account, and count requests by account

redwingstall explain says why a 401, a 429 or a 503 for a key was sent, from the refusal's own line. Counters by account are bounded to 100 names; the others count as one.

Tests: go test ./pkg/app -run Explain; go test ./internal/traffic/dispatch -run 'Account|Quota'

--- a/internal/traffic/dispatch/access_test.go
+++ b/internal/traffic/dispatch/access_test.go
@@ -186,6 +186,46 @@
 	})
 }
 
+// countingCounter holds the names of counters.
+type countingCounter struct {
+	discardCounter
+	counts map[string]int
+}
+
+func (c *countingCounter) Count(name string) { c.counts[name]++ }
+
+// Guards against counters without bound, and against names that split a line of the metrics.
+func TestCountersOfAccountsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAccountFixture(accounts.Policy{})
+		counter := &countingCounter{counts: map[string]int{}}
+		f.dispatcher.Counter = counter
+		list := []redwingstall.ClientAccount{{Name: "a b\u2028", Keys: []string{"odd"}}}
+		for i := range 1000 {
+			list = append(list, redwingstall.ClientAccount{Name: strconv.Itoa(i), Keys: []string{"k" + strconv.Itoa(i)}})
+		}
+		f.configure(3, list)
+		require.Equal(t, 200, f.get(t.Context(), "/safe/x", "Authorization", "Bearer odd").Status)
+		for i := range 1000 {
+			require.Equal(t, 200, f.get(t.Context(), "/safe/x", "Authorization", "Bearer k"+strconv.Itoa(i)).Status)
+		}
+		require.Equal(t, 1, counter.counts["accounts.served.a_b_"])
+		require.Equal(t, 901, counter.counts["accounts.served.other"])
+		require.Less(t, len(counter.counts), 150)
+	})
+}
+
+// Guards against a priority of the account that does not count.
+func TestPriorityOfTheAccountPrecedesThatOfTheRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAccountFixture(accounts.Policy{})
+		f.get(t.Context(), "/safe/x", "Authorization", "Bearer oak-key")
+		f.get(t.Context(), "/safe/x", "Authorization", "Bearer elm-key")
+		require.Contains(t, f.log.String(), `"account":"oak","priority":0`)
+		require.Contains(t, f.log.String(), `"account":"elm","priority":3`)
+	})
+}
+
 // fakeQuota admits as many requests as it has credit.
 type fakeQuota struct{ credit int }
 
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -130,6 +130,7 @@
 	ownerMisses    ownerMisses
 	clientTimeouts clientTimeouts
 	endChecks      endChecks
+	accountLabels  accountLabels
 	// backoffs are the servers that want no requests from this instance for a time, and
 	// warmups those that are in warm-up by their own word.
 	backoffs placement.Timers
@@ -364,8 +365,9 @@
 		route = j.route.Name
 	}
 	d.Counter.Count("requests." + reason)
+	d.countAccount(j, reason)
 	d.Counter.RecordLatency("requests", took)
-	d.Log.Info("request", "id", j.meta.ID, "route", route, "account", j.access.name(), "service", j.service, "key", j.meta.Key, "status", answer.Status,
+	d.Log.Info("request", "id", j.meta.ID, "route", route, "account", j.access.name(), "priority", j.priority, "service", j.service, "key", j.meta.Key, "status", answer.Status,
 		"reason", reason, "server", j.lastServer, "attempts", j.attempts, "tookMillis", took.Milliseconds(),
 		"waitedMillis", j.ownerWait.Milliseconds(), "permitMillis", j.permitWait.Milliseconds(), "expectedMillis", j.expectedLatency.Milliseconds(), "queue", j.queueLength,
 		"isReturn", j.isClientRetry, "targetMillis", j.latencyTarget.Sub(j.request.Arrived).Milliseconds(), "view", d.View.Snapshot().Sequence)
--- a/pkg/app/explain.go
+++ b/pkg/app/explain.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/redwingstall/redwingstall/internal/access/accounts"
+	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
 )
 
 // logLine holds the fields of a log line that explain uses. The line is printed
@@ -21,7 +24,46 @@
 	ID       string    `json:"id"`
 	Service  string    `json:"service"`
 	Server   string    `json:"server"`
-	text     string
+	// The rest is set in refusals by client account.
+	Cause         string `json:"cause"`
+	Account       string `json:"account"`
+	Configuration int64  `json:"configuration"`
+	AgeMillis     int64  `json:"knowledgeAgeMillis"`
+	MaxAgeMillis  int64  `json:"maxKnowledgeAgeMillis"`
+	RetryMillis   int64  `json:"retryAfterMillis"`
+	text          string
+}
+
+// accessMessage is the message of a refusal by client account.
+const accessMessage = "access refused"
+
+// accessCauses say why a request was refused by client account.
+var accessCauses = map[string]string{
+	accounts.CauseNoKey:         "401: the request has no API key, and its route does not allow anonymous requests",
+	accounts.CauseUnreadableKey: "401: the request's credential is no API key of the scheme Bearer, or is there twice",
+	accounts.CauseUnknownKey:    "401: no client account of the configuration holds the request's API key",
+	accounts.CauseNewKey:        "503: no client account holds the request's API key, which may be newer than what the instance knew",
+	accounts.CauseOldKnowledge:  "503: the instance could not know whether the client account still holds the API key",
+	dispatch.ReasonQuota:        "429: the client account has no credit left",
+}
+
+// accessCause returns the sentence about a refusal by client account, or an empty one.
+func (l logLine) accessCause() string {
+	cause := accessCauses[l.Cause]
+	if l.Message != accessMessage || cause == "" {
+		return ""
+	}
+	if l.Account != "" {
+		cause += fmt.Sprintf(" (account %q)", l.Account)
+	}
+	cause += fmt.Sprintf("; configuration %d, confirmed %d ms before the request arrived", l.Configuration, l.AgeMillis)
+	if l.Cause == accounts.CauseOldKnowledge {
+		cause += fmt.Sprintf(", at most %d ms count", l.MaxAgeMillis)
+	}
+	if l.RetryMillis > 0 {
+		cause += fmt.Sprintf("; Retry-After %d ms", l.RetryMillis)
+	}
+	return cause
 }
 
 const (
@@ -50,6 +92,9 @@
 	}
 	for _, l := range requestLines {
 		fmt.Fprintln(out, "request:", l.text)
+		if cause := l.accessCause(); cause != "" {
+			fmt.Fprintln(out, "cause:  ", cause)
+		}
 	}
 	return nil
 }
@@ -83,7 +128,7 @@
 		return false
 	}
 	switch l.Message {
-	case "configuration in force", "evacuation", "dependency lost", "dependency regained", "leader gone", "leader":
+	case "configuration in force", "record cannot be decoded", "no client accounts any more, requests need no key", "evacuation", "dependency lost", "dependency regained", "leader gone", "leader":
 		return true
 	}
 	return slices.ContainsFunc(requestLines, func(r logLine) bool {
