Cover client accounts in the soak

All versions of the configuration have client accounts, with keys that come and go with the versions. Clients claim another account. It is a violation if a server gets a key or another name than that of the account, if a key that was removed for 5 s runs, and if one that was added 2.5 s before is rejected for good, in whatever trouble.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -50,6 +50,7 @@
 			c.sendRequest(ctx, id, http.MethodPost, "/charge/x", noKey)
 		case 3:
 			c.probeVersion(ctx, id)
+			c.probeKeys(ctx, id)
 		default:
 			c.sendRequest(ctx, id, http.MethodGet, "/keyed/x", c.random.IntN(redwingstall.KeyCount))
 		}
@@ -61,6 +62,11 @@
 // there was no response. The ID of a POST that was answered with 503 or 429 is kept
 // for checkRejectedNotRun.
 func (c *client) sendRequest(ctx context.Context, id, method, path string, key int) (status int) {
+	return c.sendAs(ctx, id, method, path, key, c.credentialOf(id, path))
+}
+
+// sendAs sends one request with an API key, or none.
+func (c *client) sendAs(ctx context.Context, id, method, path string, key int, credential string) (status int) {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout+time.Second)
 	defer cancel()
 	requestBody := "body of " + id
@@ -74,6 +80,7 @@
 	}
 	request.Host = "h"
 	platformtest.SetRequest(request.Header, id, clientTimeout, key)
+	setCredential(request.Header, credential)
 	sentAt, generation := time.Now(), c.instance.startCount()
 	answer, err := c.http.Do(request)
 	if err != nil {
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -54,6 +54,7 @@
 	}
 	settings := filepath.Join(i.folder, i.name+".conf")
 	text := platformtest.Settings(i.name, i.ip, i.domain, i.frontAddress(), i.readyAddress(), peerPort, i.store.address())
+	text += revocationSettings
 	if i.starts == 0 {
 		text += platformtest.FirstStartSettings
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -73,6 +73,8 @@
 	backends         []*backend
 	version          int64
 	versionWrittenAt time.Time
+	// keys are the API keys of all versions so far.
+	keys             []*apiKey
 	storeDisturbedAt time.Time
 	// backups are copies of the store, the oldest first.
 	backups []platformtest.Backup
@@ -185,10 +187,11 @@
 	defer s.mu.Unlock()
 	s.version += 1 + int64(draw%3)
 	s.versionWrittenAt = time.Now()
+	accounts := s.nextAccounts(s.version)
 	route := func(name string, kind redwingstall.RouteKind, service string) redwingstall.Route {
 		return redwingstall.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: clientTimeout, Target: clientTimeout / 2, Priority: 1,
-			MaxAttempts: 2, Parts: []redwingstall.WeightedService{{Service: service, Weight: 1}},
+			MaxAttempts: 2, Parts: []redwingstall.WeightedService{{Service: service, Weight: 1}}, AllowsAnonymous: isAnonymous("/" + name),
 		}
 	}
 	service := func(name string, isSharded bool) redwingstall.ServiceSpec {
@@ -203,7 +206,9 @@
 		},
 		Services: map[string]redwingstall.ServiceSpec{"keyed": service("keyed", true), "charges": service("charges", false)},
 		Limits:   callers.LimitsWithDefaults(nil),
+		Accounts: accounts,
 	})
+	s.acknowledgeKeys(time.Now())
 }
 
 func (s *Soak) newestVersion() (int64, time.Time) {
