Ask the sender of updates for what is missing while the store does not answer

An instance cut off from the store that has missed one update applied all later ones by value, and its knowledge could not be confirmed any more until the store answered. In fleets without sums it asked nobody. It now asks the sender of the last update, every 300 ms at most.

Tests: go test ./internal/fleet/...

--- a/internal/fleet/follow/confirmation.go
+++ b/internal/fleet/follow/confirmation.go
@@ -1,6 +1,10 @@
 package follow
 
-import "time"
+import (
+	"time"
+
+	"github.com/redwingstall/redwingstall"
+)
 
 const (
 	// accountPollTimeout replaces watcherPollTimeout where the configuration has client
@@ -49,3 +53,24 @@
 	}
 	return f.view.ConfirmedAt()
 }
+
+// senderRepairInterval is the time between two requests for a repair by an instance that the store
+// does not answer. Each may be lost, or its response.
+const senderRepairInterval = 300 * time.Millisecond
+
+// SenderRelay is a relay that can ask the sender of the last update for the changes after a
+// position. Unlike the instances of RequestRepair it has the store's answers.
+type SenderRelay interface {
+	RequestRepairFromSender(after redwingstall.Position)
+}
+
+// requestRepairFromSender asks for the changes before an update that cannot be read from the store.
+// Without them the instance would know each later change by value, but never that it knows all: no
+// update would confirm its knowledge until the store answers.
+func (f *Follower) requestRepairFromSender(now time.Time) {
+	relay, canAsk := f.relay.(SenderRelay)
+	if canAsk && now.Sub(f.senderAskedAt) >= senderRepairInterval {
+		f.senderAskedAt = now
+		relay.RequestRepairFromSender(f.position)
+	}
+}
--- a/internal/fleet/follow/confirmation_test.go
+++ b/internal/fleet/follow/confirmation_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall"
 )
 
 // firstAccountVersion is the first version of the test's configurations with client accounts.
@@ -120,6 +122,44 @@
 	})
 }
 
+// RequestRepairFromSender asks the first watcher, whose update is the last one more or less.
+func (b *fakeRelay) RequestRepairFromSender(after redwingstall.Position) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sent++
+	update, found := b.followers[0].ChangesSince(after)
+	if !found || b.isLossy && b.sent%3 != 0 {
+		return
+	}
+	select {
+	case b.queues[b.name] <- update:
+	default:
+	}
+}
+
+// Guards against an instance without the store that has missed one update, and whose knowledge
+// then ages although it gets all later ones.
+func TestKnowledgeSurvivesLostUpdatesWithoutTheStore(t *testing.T) {
+	runFleet(t, func(f *fleet) {
+		w := &versionWriter{fleet: f}
+		w.write()
+		time.Sleep(2 * time.Second)
+		f.store.mu.Lock()
+		f.store.disconnected["c2"] = true
+		f.store.mu.Unlock()
+		f.network.mu.Lock()
+		f.network.isLossy = true
+		f.network.mu.Unlock()
+		oldest := time.Duration(0)
+		for range 100 {
+			w.write()
+			oldest = max(oldest, w.observe(t, 200*time.Millisecond, "c2"))
+		}
+		t.Logf("oldest knowledge: %v", oldest)
+		require.Less(t, oldest, 3800*time.Millisecond)
+	})
+}
+
 // Guards against refusals at all instances when those that watch the store lose it, and against
 // false claims in all sorts of trouble.
 func TestKnowledgeSurvivesTheLossOfWatchers(t *testing.T) {
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -128,6 +128,8 @@
 	// repairRequestedAt.
 	repairPosition    redwingstall.Position
 	repairRequestedAt time.Time
+	// senderAskedAt is when a sender of updates was last asked for a repair.
+	senderAskedAt time.Time
 	// slowCatchUps counts the catch-ups from slowPosition that took too long.
 	slowPosition redwingstall.Position
 	slowCatchUps int
@@ -392,6 +394,7 @@
 	}
 	if now.Before(f.retryAt) {
 		f.applyUnordered(update)
+		f.requestRepairFromSender(now)
 		return nil
 	}
 	f.log.Info("update incomplete, reading changes from the store", "era", at.Era, "revision", f.position.Revision, "after", update.After, "upTo", update.UpTo, "isTruncated", update.IsTruncated)
--- a/internal/fleet/peers/confirmation_test.go
+++ b/internal/fleet/peers/confirmation_test.go
@@ -95,3 +95,21 @@
 		require.Equal(t, []time.Duration{640 * ms, 490 * ms, 340 * ms, 190 * ms}, slices.Compact(ages), "three heartbeats, and the last part of the large update with the copies of the reporters")
 	})
 }
+
+// Guards against a request for the changes before an update that nobody answers, in fleets without
+// sums.
+func TestSenderOfUpdatesRepairs(t *testing.T) {
+	runFleet(t, 2, 3, 1, func(t *testing.T, f *fleet) {
+		sender, asking := f.members[0], f.members[4]
+		sender.exchange.changesSince = func(after redwingstall.Position) (follow.Update, bool) {
+			return follow.Update{After: int64(after.Revision), UpTo: 9, IsRepair: true}, true
+		}
+		asking.exchange.RequestRepairFromSender(redwingstall.Position{Revision: 4}) // there is none yet
+		sender.exchange.Broadcast(follow.Update{After: 9, UpTo: 9})
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, follow.Update{After: 9, UpTo: 9}, <-asking.exchange.Updates())
+		asking.exchange.RequestRepairFromSender(redwingstall.Position{Revision: 4})
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, follow.Update{After: 4, UpTo: 9, IsRepair: true}, <-asking.exchange.Updates())
+	})
+}
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -97,6 +97,8 @@
 	mu              sync.Mutex
 	topologyOf      *view.Snapshot
 	currentTopology *topology
+	// updatesFrom is the instance that sent the last update itself.
+	updatesFrom netip.AddrPort
 	// pending are the queries without a reply.
 	pending map[uint64]chan serverMessage
 
@@ -113,7 +115,10 @@
 	idsByShortID    map[uint32]string
 }
 
-var _ follow.Relay = (*Exchange)(nil)
+var (
+	_ follow.Relay       = (*Exchange)(nil)
+	_ follow.SenderRelay = (*Exchange)(nil)
+)
 
 // NewExchange opens the UDP socket; Run starts the exchange.
 func NewExchange(node settings.Node, v *view.View, e *placement.Estimator, keys KeySink, count func(name string, n int64), log *slog.Logger) (*Exchange, error) {
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -50,6 +50,9 @@
 	t := e.topology()
 	isRelayed := t.names[sender] != message.From
 	if message.Update != nil {
+		if !isRelayed && !message.Update.IsRepair {
+			e.recordUpdateSender(sender)
+		}
 		e.handleUpdate(t, message, raw, isRelayed)
 	}
 	if message.RepairAfter > 0 && !isRelayed {
--- a/internal/fleet/peers/updates.go
+++ b/internal/fleet/peers/updates.go
@@ -112,6 +112,23 @@
 	return true
 }
 
+// RequestRepairFromSender asks the instance that sent the last update for the changes after a
+// position.
+func (e *Exchange) RequestRepairFromSender(after redwingstall.Position) {
+	e.mu.Lock()
+	sender := e.updatesFrom
+	e.mu.Unlock()
+	if sender.IsValid() {
+		e.send(datagram{From: e.self.Name, RepairAfter: int64(after.Revision), RepairEra: int64(after.Era)}, []view.Peer{{Address: sender.String()}})
+	}
+}
+
+func (e *Exchange) recordUpdateSender(sender netip.AddrPort) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.updatesFrom = sender
+}
+
 // repair sends the changes after a position to the instance that asked for them.
 func (e *Exchange) repair(after redwingstall.Position, to netip.AddrPort) {
 	if e.changesSince == nil {
