--- a/internal/fleet/follow/confirmation.go
+++ b/internal/fleet/follow/confirmation.go
@@ -24,8 +24,7 @@
 
 // pollTimeout returns how long a poll that is sent now may wait for changes.
 func (f *Follower) pollTimeout(broadcasts bool, now time.Duration) time.Duration {
-	config := f.view.Snapshot().Config
-	hasAccounts, age := config != nil && config.HasAccounts(), now-f.view.ConfirmedAt()
+	hasAccounts, age := f.hasAccounts(), now-f.view.ConfirmedAt()
 	switch {
 	case hasAccounts && broadcasts:
 		return shortIfStale(accountPollTimeout, age, staleAfter)
@@ -48,12 +47,18 @@
 // confirmedAt returns what updates to other instances say about the age of their content: it is
 // needed only where there are client accounts.
 func (f *Follower) confirmedAt() time.Duration {
-	if config := f.view.Snapshot().Config; config == nil || !config.HasAccounts() {
+	if !f.hasAccounts() {
 		return 0
 	}
 	return f.view.ConfirmedAt()
 }
 
+// hasAccounts reports whether the configuration has client accounts.
+func (f *Follower) hasAccounts() bool {
+	config := f.view.Snapshot().Config
+	return config != nil && config.HasAccounts()
+}
+
 // senderRepairInterval is the time between two requests for a repair by an instance that the store
 // does not answer. Each may be lost, or its response.
 const senderRepairInterval = 300 * time.Millisecond
@@ -69,7 +74,7 @@
 // update would confirm its knowledge until the store answers.
 func (f *Follower) requestRepairFromSender(now time.Time) {
 	relay, canAsk := f.relay.(SenderRelay)
-	if canAsk && now.Sub(f.senderAskedAt) >= senderRepairInterval {
+	if canAsk && f.hasAccounts() && now.Sub(f.senderAskedAt) >= senderRepairInterval {
 		f.senderAskedAt = now
 		relay.RequestRepairFromSender(f.position)
 	}
--- a/internal/fleet/follow/confirmation_test.go
+++ b/internal/fleet/follow/confirmation_test.go
@@ -127,6 +127,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sent++
+	if len(b.followers) == 0 {
+		return
+	}
 	update, found := b.followers[0].ChangesSince(after)
 	if !found || b.isLossy && b.sent%3 != 0 {
 		return
