Prefer a share of the slots of pooled servers at each instance

Many instances choose a server at the same moment by reports that are 0.3 to 0.9 s old, which is longer than a request takes: servers are overloaded in turns while others have free slots. Each instance now prefers a fixed share of the slots of its failure domain's servers, which the instances compute alike without messages, and takes the best of the random sample only if none of them is free or another server is much cheaper. In use with features.EvenLoad.

--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -109,6 +109,8 @@
 	// QueueLength is the number of requests at the server, running or waiting, of all
 	// instances.
 	QueueLength float64
+	// Own is the number of this instance's own requests at the server.
+	Own int
 	// Completion is the expected time until the response.
 	Completion time.Duration
 	// IsEjected is set after consecutive failures, while the failure rate over all
@@ -153,6 +155,7 @@
 	reason := s.ejectionReason(now, completion)
 	return Estimate{
 		QueueLength: queue,
+		Own:         s.inFlight,
 		Completion:  completion,
 		IsEjected:   reason != EjectionNone,
 		Reason:      reason,
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -123,6 +123,7 @@
 	ownerMisses    ownerMisses
 	clientTimeouts clientTimeouts
 	endChecks      endChecks
+	preferred      preferredSlots
 	// backoffs are the servers that want no requests from this instance for a time, and
 	// warmups those that are in warm-up by their own word.
 	backoffs placement.Timers
--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/routing/affinity"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 )
 
@@ -90,7 +91,8 @@
 // sample evaluates servers in random order: a few of the instance's own failure
 // domain and a few of the others. It returns the acceptable server with capacity and
 // the lowest cost, and the acceptable one with the lowest expected latency, with or
-// without capacity.
+// without capacity. With even load, a server of which this instance has a free preferred
+// slot comes before the others, unless it is much slower.
 func (d *Dispatcher) sample(s *view.Snapshot, j *job, servers []*view.Server, now time.Time, isAcceptable func(*choice) bool) (best, fastest *choice) {
 	local, remote := newSampleQuota(len(s.Peers), len(servers)), newSampleQuota(len(s.Peers), len(servers))
 	bestCost := 0.0
@@ -120,6 +122,17 @@
 			best, bestCost = c, cost
 		}
 	}
+	if len(s.Peers) <= maxExactInstances || !d.features().EvenLoad {
+		return best, fastest
+	}
+	if preferred, cost := d.preferredChoice(s, j, servers, now, isAcceptable); preferred != nil && (best == nil || affinity.Prefers(cost, bestCost)) {
+		d.Counter.Count("choices.preferredSlot")
+		if fastest == nil {
+			fastest = preferred
+		}
+		return preferred, fastest
+	}
+	d.Counter.Count("choices.sampled")
 	return best, fastest
 }
 
