--- a/internal/ownership/keyload/keyload.go
+++ b/internal/ownership/keyload/keyload.go
@@ -14,7 +14,7 @@
 
 // shortHalfLife is the half-life of the rates that show a change of the load. It counts
 // within half a second, but for a few requests it is mostly noise.
-const shortHalfLife = 400 * time.Millisecond
+const shortHalfLife = 300 * time.Millisecond
 
 // shortDecayFactor is the decay of these rates in one decay interval.
 var shortDecayFactor = float32(math.Exp2(-float64(decayInterval) / float64(shortHalfLife)))
