--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -33,11 +33,15 @@
 			}
 			continue
 		}
+		stamp, encoded := cutConfirmation(buffer[:n])
 		var message datagram
-		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
+		if err := cbor.Unmarshal(encoded, &message); err != nil {
 			e.log.Warn("datagram decoding failed", "bytes", n, "error", err.Error())
 			continue
 		}
+		if message.Update != nil && stamp != (confirmation{}) {
+			message.Update.ConfirmedAt = e.senders.confirmedAt(e.clock(), message.From, stamp)
+		}
 		e.handle(time.Now(), message, buffer[:n], sender)
 	}
 }
