--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -130,6 +130,7 @@
 	ownerMisses    ownerMisses
 	clientTimeouts clientTimeouts
 	endChecks      endChecks
+	preferred      preferredSlots
 	accountLabels  accountLabels
 	// backoffs are the servers that want no requests from this instance for a time, and
 	// warmups those that are in warm-up by their own word.
