--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -192,6 +192,7 @@
 		DrainTimeout:    bounds.DrainTimeout / 2,
 		EvacuateTimeout: bounds.EvacuationTimeout / 2,
 		StopAt:          g.stopTime,
+		Features:        g.features,
 		Accounts:        accounts.Policy{StrictRevocation: bounds.StrictRevocation, RevocationTimeout: bounds.RevocationTimeout},
 		Clock:           boottime.Now,
 		Random:          rand.Float64,
