Take a successor at the owner's address for the end of the owner

Tests: go test ./internal/ownership/... (the search for two owners applies such answers, and finds the violation if one without an entry is believed).

--- a/gateway.go
+++ b/gateway.go
@@ -263,7 +263,9 @@
 
 // ResponseMeta is the information in a response's headers for the router.
 type ResponseMeta struct {
-	ID          string
+	ID string
+	// Instance is the ID of the server process that answered, if it says so.
+	Instance    string
 	IsSigned    bool
 	NotExecuted bool
 	Load        ServerLoad
--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -129,6 +129,9 @@
 	// IsUnanswered is set if there was no valid answer, or another server gave it. The
 	// command may still be applied later, unless IsUnsent is set too.
 	IsUnanswered bool
+	// IsReplaced is set if the server process has ended for certain, because another one has
+	// taken over its address. It answered a release in the former one's place.
+	IsReplaced bool
 	// IsUnsent is set if no connection was established, so that the command has no effect.
 	IsUnsent bool
 }
@@ -341,6 +344,9 @@
 	p.endedAt = now
 	switch {
 	case result.IsFenced:
+	case result.IsReplaced:
+		// A process that has ended holds no keys, and left no handover.
+		p.unanswered, p.isAnswered = 0, true
 	case result.IsUnanswered:
 		p.unanswered++
 	default:
--- a/internal/ownership/assign/recovery.go
+++ b/internal/ownership/assign/recovery.go
@@ -117,6 +117,8 @@
 
 // RecordResult records the result of a command in flight.
 func (r *Recovery) RecordResult(now time.Duration, c Command, result Result) {
+	// What the store listed before it went back to an older copy is no evidence.
+	result.IsReplaced = false
 	if h := r.holders[c.Owner.ID]; h != nil && h.address == c.Address {
 		h.release.record(now, result)
 	}
--- a/internal/ownership/assign/simulation_test.go
+++ b/internal/ownership/assign/simulation_test.go
@@ -38,15 +38,17 @@
 	born          int64
 	isUp          bool
 	isUnreachable bool
-	isListed      bool
-	listedStart   int64
-	isLeaving     bool
-	crashedAt     time.Duration
-	partition     partitionKind
-	clockDrift    float64
-	grantedUntil  [sampleKeys]time.Duration
-	grantFence    [sampleKeys]int64
-	highestFence  [sampleKeys]int64
+	// isReplaced is set if another server has the address of the process that has ended.
+	isReplaced   bool
+	isListed     bool
+	listedStart  int64
+	isLeaving    bool
+	crashedAt    time.Duration
+	partition    partitionKind
+	clockDrift   float64
+	grantedUntil [sampleKeys]time.Duration
+	grantFence   [sampleKeys]int64
+	highestFence [sampleKeys]int64
 }
 
 // partitionKind is how connections to a running server fail that a partition separates from
@@ -143,13 +145,17 @@
 	continuesUnstored   bool
 	believesRefusals    bool
 	believesOtherServer bool
-	grantsDuringWrite   bool
-	forgetsFailedWrite  bool
-	sendsWithheldGrants bool
-	understatesEnds     bool
-	violation           string
-	trace               func(format string, args ...any)
-	grantsApplied       int
+	// believesUnlistedSuccessor takes another server's answer as proof without its entry.
+	believesUnlistedSuccessor bool
+	grantsDuringWrite         bool
+	forgetsFailedWrite        bool
+	sendsWithheldGrants       bool
+	understatesEnds           bool
+	violation                 string
+	trace                     func(format string, args ...any)
+	grantsApplied             int
+	// replaced counts the releases that another server at the owner's address answered.
+	replaced int
 	// recalled counts the releases of earlier leaders that ended by what the map says.
 	recalled int
 	// afterResignation counts the terms that followed a resignation.
@@ -204,6 +210,7 @@
 		switch {
 		case s.isUp && m.chance(0.02):
 			s.isUp, s.isUnreachable, s.crashedAt = false, m.random.IntN(2) == 0, m.now
+			s.isReplaced = s.born%3 == 0
 		case !s.isUp && m.chance(0.4):
 			*s = fakeServer{id: s.id, born: s.born + 1, isUp: true, isListed: s.isListed, listedStart: s.listedStart, clockDrift: s.clockDrift}
 			m.schedule(time.Duration(m.random.IntN(900))*time.Millisecond, "listed", func() { s.isListed, s.listedStart = true, s.born })
@@ -536,7 +543,13 @@
 	if m.believesOtherServer {
 		misdirected = Result{}
 	}
+	misdirected.IsReplaced = m.believesUnlistedSuccessor && c.Kind == CommandRelease
+	// The address of a server that has ended belongs to another one, which the store lists.
+	isReplaced := c.Kind == CommandRelease && !s.isUp && s.isReplaced && !(s.isListed && s.listedStart == c.Owner.StartedAtMillis)
 	switch {
+	case isReplaced:
+		m.replaced++
+		done(simulationStep, Result{IsUnanswered: true, IsReplaced: true})
 	case !s.isUp && s.isUnreachable, s.partition == silentPartition:
 		done(timeout, unanswered)
 	case !s.isUp, s.partition == refusingPartition:
@@ -639,7 +652,7 @@
 // Whatever the faults, no key may ever have two holders, and the fencing tokens of a
 // key's successive owners must rise.
 func TestNoKeyHasTwoOwners(t *testing.T) {
-	grantsApplied, recoveries, continued, recalled, resigned := 0, 0, 0, 0, 0
+	grantsApplied, recoveries, continued, recalled, replaced, resigned := 0, 0, 0, 0, 0, 0
 	for seed := range simulationSeeds() {
 		m := newSimulation(seed)
 		m.run()
@@ -648,11 +661,13 @@
 		recoveries += m.recoveries
 		continued += m.continued
 		recalled += m.recalled
+		replaced += m.replaced
 		resigned += m.afterResignation
 	}
 	require.Positive(t, recoveries)
 	require.Positive(t, continued)
 	require.Positive(t, recalled)
+	require.Positive(t, replaced)
 	require.Positive(t, resigned)
 	require.Greater(t, grantsApplied, 10*sampleKeys, "the simulation must apply grants")
 }
@@ -691,6 +706,7 @@
 	for name, injectBug := range map[string]func(m *simulation){
 		"a refused connection and a missing entry are believed":   func(m *simulation) { m.believesRefusals = true },
 		"the answer of another server at the address is believed": func(m *simulation) { m.believesOtherServer = true },
+		"that answer is believed without an entry of its sender":  func(m *simulation) { m.believesUnlistedSuccessor = true },
 	} {
 		require.True(t, findsViolation(injectBug), name)
 	}
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -585,15 +585,18 @@
 		defer cancel()
 		result.Handover, meta, err = l.OwnerClient.Release(bounded, command.Owner.ID, command.Address, command.Keys, command.Fence)
 	}
-	if l.ObserveResponse != nil {
+	isOtherServer := errors.Is(err, redwingstall.ErrAddressReassigned)
+	if l.ObserveResponse != nil && !isOtherServer {
 		l.ObserveResponse(command.Owner, meta, sentAt)
 	}
 	result.IsFenced = errors.Is(err, redwingstall.ErrFenced)
 	result.IsUnanswered = err != nil && !result.IsFenced
 	result.IsUnsent = errors.Is(err, redwingstall.ErrNotSent)
+	result.IsReplaced = isOtherServer && command.Kind == assign.CommandRelease && l.features().KeyRecovery &&
+		isReplaced(l.View.Snapshot(), command, meta.Instance)
 	if err != nil || command.Kind == assign.CommandRelease {
 		l.Log.Info("order", "kind", command.Kind, "service", name, "server", command.Owner.ID, "from", command.Keys.From, "to", command.Keys.To,
-			"fence", command.Fence, "handover", result.Handover != "", "error", errorText(err))
+			"fence", command.Fence, "handover", result.Handover != "", "answeredBy", meta.Instance, "isReplaced", result.IsReplaced, "error", errorText(err))
 	}
 	return result
 }
