--- /dev/null
+++ b/internal/traffic/admission/admission.go
@@ -0,0 +1,217 @@
+// Package admission decides which requests a full server takes, and when the clients of the
+// others return. Time, load and randomness are arguments.
+//
+// Instances learn of each other's requests after 0.1 to 0.6 s. In that time a busy key alone may
+// bring several times what its server can hold, so that a bound of the queue by itself admits too
+// many and too few in turns. Each instance therefore estimates the demand of all instances from
+// its own, and admits the share of it that the server has room for.
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// objectiveShare is the part of the time left before the objective within which a first
+	// attempt must be expected to be answered. A fifth of the requests take three times as long
+	// as the others, and work has a coefficient of variation of up to 0.8.
+	objectiveShare = 0.7
+	// deadlineShare is the same for the deadline, for clients that return.
+	deadlineShare = 0.7
+	// targetRounds is the number of requests at a server, as a multiple of its slots, that
+	// keeps it busy. More make all of them late and serve no more.
+	targetRounds = 1.5
+	// correctionTime is the time within which the queue is corrected to that target. It is
+	// longer than the reports of other instances take, so that the queue does not oscillate.
+	correctionTime = 500 * time.Millisecond
+	// staleAge is the age of reports from which they count as half as certain.
+	staleAge = 700 * time.Millisecond
+	// keyShare is the share of a server's capacity that one key may take while other requests
+	// want it.
+	keyShare = 0.25
+	// maxTracked bounds the servers and services whose demand is counted, and trackedFor is how
+	// long one without requests is kept.
+	maxTracked = 4096
+	trackedFor = 10 * time.Second
+)
+
+// KeyID identifies a key of a service.
+type KeyID struct {
+	Service string
+	Key     int
+}
+
+// Target is what is known of the server, or of all servers of a service, that would run a request.
+type Target struct {
+	// Name identifies it among the targets of a controller.
+	Name  string
+	Slots int
+	// Queue is the number of requests there, running or waiting.
+	Queue float64
+	// Pace is the execution time there as a multiple of the mean.
+	Pace float64
+	// Age is the age of what is known of other instances' requests.
+	Age time.Duration
+	// Instances is the number of instances that send requests there.
+	Instances int
+}
+
+// Request is a request that wants to be admitted.
+type Request struct {
+	// Priority of the client account or the route. 0 is the highest.
+	Priority int
+	Key      KeyID
+	HasKey   bool
+	// IsReturn is set if the client was refused before.
+	IsReturn bool
+	// Execution is the mean execution time of the route's requests.
+	Execution time.Duration
+	// Completion is the expected time until the response.
+	Completion time.Duration
+	// ObjectiveLeft and DeadlineLeft are the times left before the latency objective and
+	// before the client gives up.
+	ObjectiveLeft time.Duration
+	DeadlineLeft  time.Duration
+}
+
+// Cause is why a request is refused. Metrics and logs use these names.
+type Cause string
+
+// The causes.
+const (
+	CauseNone Cause = ""
+	// CauseLate means that the response cannot be expected in time.
+	CauseLate Cause = "late"
+	// CauseShare means that the capacity left by requests that go first does not suffice.
+	CauseShare Cause = "share"
+	// CauseKey is the same for a request beyond the share of its key.
+	CauseKey Cause = "key"
+)
+
+// Decision is the result of a decision and its inputs.
+type Decision struct {
+	Cause Cause
+	// RetryAfter is when the client should return if it is refused.
+	RetryAfter time.Duration
+	// Share is the share of such requests that is admitted.
+	Share float64
+	// Room, Demand and Before are the slots that are available to new requests, wanted by
+	// requests of the same rank, and wanted by those that go first.
+	Room   float64
+	Demand float64
+	Before float64
+}
+
+// IsAdmitted reports whether the request is sent.
+func (d Decision) IsAdmitted() bool { return d.Cause == CauseNone }
+
+// Controller decides for one instance. It is safe for concurrent use. The zero value is ready to
+// use.
+type Controller struct {
+	mu      sync.Mutex
+	demands map[string]*demand
+	keys    keySketch
+	sweptAt time.Time
+}
+
+// Decide decides on a request. Random returns numbers in [0, 1).
+func (c *Controller) Decide(now time.Time, r Request, t Target, random func() float64) Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := c.demand(now, t.Name)
+	d.decayTo(now)
+	capacity := float64(max(t.Slots, 1))
+	work := r.Execution.Seconds() * max(t.Pace, minPace)
+	rank := newClass(r.Priority, r.IsReturn, c.isExcess(now, r, t, work, capacity, random))
+	decision := Decision{Room: room(r, t, capacity)}
+	decision.Demand, decision.Before = d.rates(rank, t.Instances, capacity)
+	decision.Share = min(max((decision.Room-decision.Before)/decision.Demand, 0), 1)
+	switch {
+	case isLate(r, t):
+		decision.Cause = CauseLate
+	case random() < decision.Share:
+	case rank >= 2*priorities:
+		decision.Cause = CauseKey
+	default:
+		decision.Cause = CauseShare
+	}
+	if !decision.IsAdmitted() {
+		decision.RetryAfter = returnAfter(r, t, d, capacity, random)
+		d.refused += work
+	}
+	d.work[rank] += work
+	return decision
+}
+
+// minPace bounds the pace of a server that is not known yet.
+const minPace = 0.3
+
+// isExcess reports whether a request is beyond the share of its key. Of a key that wants more
+// than its share, the share is chosen at random.
+func (c *Controller) isExcess(now time.Time, r Request, t Target, work, capacity float64, random func() float64) bool {
+	if !r.HasKey {
+		return false
+	}
+	wanted := c.keys.add(now, r.Key, work) * float64(max(t.Instances, 1)) / window.Seconds()
+	return wanted > 0 && random() >= keyShare*capacity/wanted
+}
+
+// isLate reports whether a first attempt cannot be expected within its objective, or a returning
+// client's before its deadline. It is not late while a slot is free: the server may be slow only
+// for a moment, and no other request waits for the slot.
+func isLate(r Request, t Target) bool {
+	if now := float64(r.Completion); now > deadlineShare*float64(r.DeadlineLeft) {
+		return true
+	}
+	if r.IsReturn || t.Queue < float64(t.Slots) {
+		return false
+	}
+	margin := 1 - objectiveShare
+	if t.isStale() {
+		margin *= 2
+	}
+	return float64(r.Completion) > (1-margin)*float64(r.ObjectiveLeft)
+}
+
+func (t Target) isStale() bool { return t.Age > staleAge }
+
+// room returns the slots that the target has for new requests: its capacity, more while its
+// queue is below the target length, and less while it is above.
+func room(r Request, t Target, capacity float64) float64 {
+	correction := (targetRounds*capacity - t.Queue) * r.Execution.Seconds() * max(t.Pace, minPace) / correctionTime.Seconds()
+	if t.isStale() {
+		correction /= 2
+	}
+	return max(capacity+correction, 0)
+}
+
+// demand returns the demand of a target, and drops those that had no requests for long.
+func (c *Controller) demand(now time.Time, name string) *demand {
+	if d := c.demands[name]; d != nil {
+		return d
+	}
+	if c.demands == nil {
+		c.demands = map[string]*demand{}
+	}
+	if len(c.demands) >= maxTracked {
+		c.sweep(now)
+	}
+	d := &demand{countedAt: now}
+	if len(c.demands) < maxTracked {
+		c.demands[name] = d
+	}
+	return d
+}
+
+func (c *Controller) sweep(now time.Time) {
+	if now.Sub(c.sweptAt) < trackedFor {
+		return
+	}
+	c.sweptAt = now
+	for name, d := range c.demands {
+		if now.Sub(d.countedAt) >= trackedFor {
+			delete(c.demands, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/admission/simulation_test.go
@@ -0,0 +1,254 @@
+package admission_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/redwingstall/redwingstall/internal/traffic/admission"
+)
+
+// load is a stream of requests of one kind to one key or, with key -1, to many keys.
+type load struct {
+	name      string
+	perSecond float64
+	execution time.Duration
+	objective time.Duration
+	patience  time.Duration
+	priority  int
+	key       int
+	from, to  time.Duration
+	// repeats is how often a refused client repeats at once, whatever it was told.
+	repeats int
+}
+
+// result is what the clients of a load got.
+type result struct {
+	clients, inTime, late, refused, again float64
+}
+
+// served is the share of clients that got a response, and value is the mean value of a client,
+// where a late response is worth 0.4 and another refusal costs 0.3.
+func (r result) served() float64 { return (r.inTime + r.late) / r.clients }
+func (r result) value() float64  { return (r.inTime + 0.4*r.late - 0.3*r.again) / r.clients }
+func (r result) prompt() float64 { return r.inTime / r.clients }
+
+// simulation plays loads against the slots of one server in simulated time. Each instance knows
+// its own requests, and those of the others as they were one to two report intervals before.
+type simulation struct {
+	now       time.Time
+	events    eventQueue
+	random    *rand.Rand
+	slots     int
+	instances int
+	interval  time.Duration
+	isOn      bool
+	running   int
+	waiting   []*client
+	slowUntil time.Time
+	// ends is the time at which the arrivals end, and start that at which they begin.
+	start, ends time.Time
+	knowledge   []known
+	results     map[string]*result
+	// busy is the time for which slots worked.
+	busy time.Duration
+}
+
+type known struct {
+	own, reported, pending int
+	reportedAt, pendingAt  time.Time
+	controller             admission.Controller
+}
+
+type client struct {
+	load     *load
+	began    time.Time
+	refusals int
+	instance int
+}
+
+const (
+	maxWaiting = 40
+	// meanPace is the mean pace of a server that is three times as slow for a fifth of the time.
+	meanPace = 1.4
+)
+
+func newSimulation(isOn bool, instances int, interval time.Duration) *simulation {
+	start := time.Unix(1e9, 0)
+	s := &simulation{now: start, start: start, random: rand.New(rand.NewPCG(1, 2)), slots: 6, instances: instances, interval: interval, isOn: isOn, knowledge: make([]known, instances), results: map[string]*result{}}
+	for i := range s.knowledge {
+		s.after(time.Duration(s.random.Float64()*float64(interval)), func() { s.exchange(i) })
+	}
+	s.after(0, s.changePace)
+	return s
+}
+
+// capacity is the rate at which a server runs requests of an execution time.
+func (s *simulation) capacity(execution time.Duration) float64 {
+	return float64(s.slots) / (execution.Seconds() * meanPace)
+}
+
+func (s *simulation) run(length time.Duration, loads ...load) map[string]*result {
+	s.ends = s.start.Add(length)
+	for i := range loads {
+		l := &loads[i]
+		s.results[l.name] = &result{}
+		if l.to == 0 {
+			l.to = length
+		}
+		s.after(l.from, func() { s.arrive(l) })
+	}
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.run()
+	}
+	return s.results
+}
+
+func (s *simulation) after(delay time.Duration, run func()) {
+	heap.Push(&s.events, event{s.now.Add(delay), run})
+}
+
+func (s *simulation) arrive(l *load) {
+	if s.now.Sub(s.start) >= l.to {
+		return
+	}
+	s.results[l.name].clients++
+	s.try(&client{load: l, began: s.now})
+	s.after(time.Duration(s.random.ExpFloat64()/l.perSecond*float64(time.Second)), func() { s.arrive(l) })
+}
+
+func (s *simulation) try(c *client) {
+	c.instance = s.random.IntN(s.instances)
+	k := &s.knowledge[c.instance]
+	isAdmitted, retryAfter := s.decide(c, k)
+	if isAdmitted && len(s.waiting) >= maxWaiting {
+		isAdmitted, retryAfter = false, c.load.execution/2
+	}
+	if !isAdmitted {
+		s.refuse(c, retryAfter)
+		return
+	}
+	k.own++
+	if s.running < s.slots {
+		s.begin(c)
+	} else {
+		s.waiting = append(s.waiting, c)
+	}
+}
+
+func (s *simulation) refuse(c *client, retryAfter time.Duration) {
+	r := s.results[c.load.name]
+	if c.refusals++; c.refusals > 1 {
+		r.again++
+	}
+	if c.refusals <= c.load.repeats {
+		retryAfter = 5 * time.Millisecond
+	}
+	if c.refusals > max(2, c.load.repeats) || s.now.Add(retryAfter).Sub(c.began) >= c.load.patience {
+		r.refused++
+		return
+	}
+	s.after(retryAfter, func() { s.try(c) })
+}
+
+func (s *simulation) begin(c *client) {
+	s.running++
+	const variation = 0.65
+	sigma := math.Sqrt(math.Log(1 + variation*variation))
+	took := float64(c.load.execution) * math.Exp(s.random.NormFloat64()*sigma-sigma*sigma/2)
+	if s.now.Before(s.slowUntil) {
+		took *= 3
+	}
+	if s.now.Before(s.ends) {
+		s.busy += time.Duration(took)
+	}
+	s.after(time.Duration(took), func() { s.end(c) })
+}
+
+func (s *simulation) end(c *client) {
+	s.running--
+	s.knowledge[c.instance].own--
+	r := s.results[c.load.name]
+	switch took := s.now.Sub(c.began); {
+	case took <= c.load.objective:
+		r.inTime++
+	case took <= c.load.patience:
+		r.late++
+	default:
+		r.refused++
+	}
+	if len(s.waiting) > 0 {
+		next := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.begin(next)
+	}
+}
+
+func (s *simulation) decide(c *client, k *known) (isAdmitted bool, retryAfter time.Duration) {
+	l := c.load
+	queue := float64(k.own + k.reported)
+	rounds := max(1, (queue+1)/float64(s.slots))
+	completion := time.Duration(float64(l.execution) * meanPace * rounds)
+	elapsed := s.now.Sub(c.began)
+	if elapsed < time.Duration(0.15*float64(l.patience)) {
+		elapsed = 0 // the client timeout does not tell it from a first attempt
+	}
+	deadlineLeft := l.patience - elapsed
+	if s.isOn {
+		key := admission.KeyID{Service: "s", Key: l.key}
+		if l.key < 0 {
+			key.Key = 1000 + s.random.IntN(1000)
+		}
+		d := k.controller.Decide(s.now, admission.Request{
+			Priority: l.priority, Key: key, HasKey: true, IsReturn: elapsed > 0, Execution: l.execution, Completion: completion,
+			ObjectiveLeft: l.objective - elapsed, DeadlineLeft: deadlineLeft,
+		}, admission.Target{Name: "s", Slots: s.slots, Queue: queue, Pace: meanPace, Age: s.now.Sub(k.reportedAt), Instances: s.instances}, s.random.Float64)
+		return d.IsAdmitted(), d.RetryAfter
+	}
+	// The decisions without the feature, as in dispatch.
+	isFull := queue >= 3*float64(s.slots)
+	isLate := time.Duration(0.7*float64(completion)) > deadlineLeft || elapsed == 0 && completion > l.objective+l.execution/2
+	if queue < float64(s.slots) || !isFull && !isLate {
+		return true, 0
+	}
+	retryAfter = max(min(completion-l.objective/2, time.Duration(0.3*float64(deadlineLeft))), 60*time.Millisecond)
+	return false, time.Duration(float64(retryAfter) * (0.75 + 0.75*s.random.Float64()))
+}
+
+// exchange lets an instance receive what the others sent one interval ago.
+func (s *simulation) exchange(i int) {
+	k := &s.knowledge[i]
+	k.reported, k.reportedAt = k.pending, k.pendingAt
+	k.pending, k.pendingAt = s.running+len(s.waiting)-k.own, s.now
+	if s.now.Before(s.ends) {
+		s.after(s.interval, func() { s.exchange(i) })
+	}
+}
+
+func (s *simulation) changePace() {
+	slow := time.Duration(s.random.ExpFloat64() * float64(400*time.Millisecond))
+	s.slowUntil = s.now.Add(slow)
+	if s.now.Before(s.ends) || s.ends.IsZero() {
+		s.after(slow+time.Duration(s.random.ExpFloat64()*float64(1600*time.Millisecond)), s.changePace)
+	}
+}
+
+type event struct {
+	at  time.Time
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
