--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -36,23 +36,20 @@
 	trackedFor = 10 * time.Second
 )
 
-// KeyID identifies a key of a service.
-type KeyID struct {
-	Service string
-	Key     int
-}
-
 // Target is what is known of the server, or of all servers of a service, that would run a request.
 type Target struct {
 	// Name identifies it among the targets of a controller.
-	Name  string
-	Slots int
+	Name    string
+	Service string
+	Slots   int
 	// Queue is the number of requests there, running or waiting.
 	Queue float64
 	// Pace is the execution time there as a multiple of the mean.
 	Pace float64
 	// Age is the age of what is known of other instances' requests.
 	Age time.Duration
+	// Demand is the number of slots that the requests of all instances want.
+	Demand float64
 	// Instances is the number of instances that send requests there.
 	Instances int
 }
@@ -61,7 +58,7 @@
 type Request struct {
 	// Priority of the client account or the route. 0 is the highest.
 	Priority int
-	Key      KeyID
+	Key      int
 	HasKey   bool
 	// IsReturn is set if the client was refused before.
 	IsReturn bool
@@ -109,24 +106,27 @@
 // Controller decides for one instance. It is safe for concurrent use. The zero value is ready to
 // use.
 type Controller struct {
-	mu      sync.Mutex
-	demands map[string]*demand
-	keys    keySketch
-	sweptAt time.Time
+	mu       sync.Mutex
+	targets  mixes
+	services mixes
+	keys     keySketch
 }
 
 // Decide decides on a request. Random returns numbers in [0, 1).
 func (c *Controller) Decide(now time.Time, r Request, t Target, random func() float64) Decision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	d := c.demand(now, t.Name)
-	d.decayTo(now)
+	target, service := c.targets.find(now, t.Name), c.services.find(now, t.Service)
 	capacity := float64(max(t.Slots, 1))
 	work := r.Execution.Seconds() * max(t.Pace, minPace)
-	rank := newClass(r.Priority, r.IsReturn, c.isExcess(now, r, t, work, capacity, random))
-	decision := Decision{Room: room(r, t, capacity)}
-	decision.Demand, decision.Before = d.rates(rank, t.Instances, capacity)
-	decision.Share = min(max((decision.Room-decision.Before)/decision.Demand, 0), 1)
+	total := t.Demand
+	if t.isStale() {
+		total = max(total, estimateAlone(target, t.Instances, capacity))
+	}
+	rank := newClass(r.Priority, r.IsReturn, c.isExcess(now, r, t, work, total, capacity, random))
+	d := divide(total, target, service, rank)
+	decision := Decision{Room: room(r, t, capacity), Demand: d.own, Before: d.before}
+	decision.Share = min(max((decision.Room-d.before)/max(d.own, minDemand), 0), 1)
 	switch {
 	case isLate(r, t):
 		decision.Cause = CauseLate
@@ -138,25 +138,35 @@
 	}
 	if !decision.IsAdmitted() {
 		decision.RetryAfter = returnAfter(r, t, d, capacity, random)
-		d.refused += work
 	}
-	d.work[rank] += work
+	target.add(rank, work)
+	service.add(rank, work)
 	return decision
 }
 
-// minPace bounds the pace of a server that is not known yet.
-const minPace = 0.3
+const (
+	// minPace bounds the pace of a server that is not known yet.
+	minPace = 0.3
+	// minDemand avoids a division by zero.
+	minDemand = 1e-6
+)
 
 // isExcess reports whether a request is beyond the share of its key. Of a key that wants more
 // than its share, the share is chosen at random.
-func (c *Controller) isExcess(now time.Time, r Request, t Target, work, capacity float64, random func() float64) bool {
+func (c *Controller) isExcess(now time.Time, r Request, t Target, work, total, capacity float64, random func() float64) bool {
 	if !r.HasKey {
 		return false
 	}
-	wanted := c.keys.add(now, r.Key, work) * float64(max(t.Instances, 1)) / window.Seconds()
+	ofKey := c.keys.add(now, keyID{t.Service, t.Name, r.Key}, work)
+	ofTarget := c.keys.add(now, keyID{t.Service, t.Name, allKeys}, work)
+	wanted := total * ofKey / (ofTarget + keyPrior*work)
 	return wanted > 0 && random() >= keyShare*capacity/wanted
 }
 
+// keyPrior is the number of requests for other keys that are assumed beside those that this
+// instance has seen.
+const keyPrior = 1
+
 // isLate reports whether a first attempt cannot be expected within its objective, or a returning
 // client's before its deadline. It is not late while a slot is free: the server may be slow only
 // for a moment, and no other request waits for the slot.
@@ -186,32 +196,39 @@
 	return max(capacity+correction, 0)
 }
 
-// demand returns the demand of a target, and drops those that had no requests for long.
-func (c *Controller) demand(now time.Time, name string) *demand {
-	if d := c.demands[name]; d != nil {
-		return d
-	}
-	if c.demands == nil {
-		c.demands = map[string]*demand{}
-	}
-	if len(c.demands) >= maxTracked {
-		c.sweep(now)
-	}
-	d := &demand{countedAt: now}
-	if len(c.demands) < maxTracked {
-		c.demands[name] = d
+// mixes are counts by name, in bounded memory.
+type mixes struct {
+	byName  map[string]*mix
+	sweptAt time.Time
+}
+
+// find returns the decayed counts of a name. It drops names without requests when there are many.
+func (m *mixes) find(now time.Time, name string) *mix {
+	found := m.byName[name]
+	if found == nil {
+		if len(m.byName) >= maxTracked {
+			m.sweep(now)
+		}
+		found = &mix{countedAt: now}
+		if m.byName == nil {
+			m.byName = map[string]*mix{}
+		}
+		if len(m.byName) < maxTracked {
+			m.byName[name] = found
+		}
 	}
-	return d
+	found.decayTo(now)
+	return found
 }
 
-func (c *Controller) sweep(now time.Time) {
-	if now.Sub(c.sweptAt) < trackedFor {
+func (m *mixes) sweep(now time.Time) {
+	if now.Sub(m.sweptAt) < trackedFor {
 		return
 	}
-	c.sweptAt = now
-	for name, d := range c.demands {
-		if now.Sub(d.countedAt) >= trackedFor {
-			delete(c.demands, name)
+	m.sweptAt = now
+	for name, found := range m.byName {
+		if now.Sub(found.countedAt) >= trackedFor {
+			delete(m.byName, name)
 		}
 	}
 }
--- a/internal/traffic/admission/demand.go
+++ b/internal/traffic/admission/demand.go
@@ -38,58 +38,76 @@
 
 func (c class) isReturn() bool { return c/priorities%2 == 1 }
 
-// demand counts the work that this instance was asked to send to one server or service, in
-// seconds of a slot, with exponential decay.
-type demand struct {
-	work    [classes]float64
-	refused float64
+// mix counts the work that this instance was asked to send, in seconds of a slot, with
+// exponential decay.
+type mix struct {
+	work [classes]float64
+	sum  float64
 	// countedAt is the time that the counts are decayed to.
 	countedAt time.Time
 }
 
-func (d *demand) decayTo(now time.Time) {
-	elapsed := now.Sub(d.countedAt)
+func (m *mix) decayTo(now time.Time) {
+	elapsed := now.Sub(m.countedAt)
 	if elapsed <= 0 {
 		return
 	}
 	decay := math.Exp2(-float64(elapsed) / float64(demandHalfLife))
-	for i := range d.work {
-		d.work[i] *= decay
+	m.sum = 0
+	for i := range m.work {
+		m.work[i] *= decay
+		m.sum += m.work[i]
 	}
-	d.refused *= decay
-	d.countedAt = now
+	m.countedAt = now
 }
 
-// rates returns the slots that all instances together want to use for the class and for those
-// before it. An instance that sees few requests knows little: its count is moved towards the
-// capacity, which is the demand at which nothing needs to be refused.
-func (d *demand) rates(c class, instances int, capacity float64) (own, before float64) {
-	for i, work := range d.work {
-		if class(i) < c {
-			before += work
-		}
-	}
-	scale := float64(max(instances, 1)) / (window + priorTime).Seconds()
-	prior := capacity * float64(priorTime) / float64(window+priorTime)
-	return d.work[c]*scale + prior, before * scale
+func (m *mix) add(c class, work float64) {
+	m.work[c] += work
+	m.sum += work
+}
+
+// demand is what all instances together want of a target, in slots.
+type demand struct {
+	total float64
+	// own is wanted by requests of the class, and before by those that go first.
+	own    float64
+	before float64
+	// first is wanted by first attempts.
+	first float64
 }
 
-// firstRate returns the slots that first attempts want to use, of all instances together.
-func (d *demand) firstRate(instances int) float64 {
-	sum := 0.0
-	for i, work := range d.work {
+// divide divides a total into classes, as this instance sees them at the target and, where it
+// sees few requests there, at all of its service.
+func divide(total float64, target, service *mix, c class) demand {
+	d := demand{total: total}
+	for i := range target.work {
+		prior := 1.0 / classes
+		if service.sum > 0 {
+			prior = service.work[i] / service.sum
+		}
+		slots := total * (target.work[i] + mixPrior*prior) / (target.sum + mixPrior)
+		switch {
+		case class(i) < c:
+			d.before += slots
+		case class(i) == c:
+			d.own = slots
+		}
 		if !class(i).isReturn() {
-			sum += work
+			d.first += slots
 		}
 	}
-	return sum * float64(max(instances, 1)) / window.Seconds()
+	return d
 }
 
-// refusedRate returns the slots that refused requests of all instances wanted.
-func (d *demand) refusedRate(instances int) float64 {
-	return d.refused * float64(max(instances, 1)) / window.Seconds()
-}
+const (
+	// mixPrior is the weight of the division of the service's work, as work seen at the target.
+	mixPrior = 0.6
+	// priorTime is the weight of the assumption that demand equals the capacity, as the time for
+	// which it would have been observed, where the reports of other instances are missing.
+	priorTime = 300 * time.Millisecond
+)
 
-// priorTime is the weight of the assumption that demand equals the capacity, as the time for
-// which it would have been observed.
-const priorTime = 300 * time.Millisecond
+// estimateAlone returns the demand of all instances as estimated from that of this one.
+func estimateAlone(m *mix, instances int, capacity float64) float64 {
+	return (m.sum*float64(max(instances, 1)) + capacity*priorTime.Seconds()) / (window + priorTime).Seconds()
+}
--- a/internal/traffic/admission/keys.go
+++ b/internal/traffic/admission/keys.go
@@ -16,22 +16,35 @@
 	maxSketchScale = 1 << 30
 )
 
-// keySketch estimates the work for each key, with the same decay as demand and in bounded memory
-// (a count-min sketch). The zero value is not ready to use.
+// keyHalfLife is the half-life of the counts by key. A busy key stays busy for seconds, and an
+// instance of a large fleet sees few of its requests.
+const keyHalfLife = 4 * time.Second
+
+// keySketch estimates the work for each key, with exponential decay and in bounded memory (a
+// count-min sketch). The zero value is empty.
 type keySketch struct {
 	seed    maphash.Seed
 	cells   [sketchRows][sketchColumns]float64
 	startAt time.Time
 }
 
+// keyID identifies a key at a target. The key allKeys stands for all.
+type keyID struct {
+	service string
+	target  string
+	key     int
+}
+
+const allKeys = -1
+
 // add counts work for a key and returns the sum before it.
-func (s *keySketch) add(now time.Time, key KeyID, work float64) float64 {
+func (s *keySketch) add(now time.Time, key keyID, work float64) float64 {
 	if s.startAt.IsZero() {
 		s.startAt = now
 		s.seed = maphash.MakeSeed()
 	}
 	// Old counts decay relative to new ones, whose weight grows.
-	scale := math.Exp2(float64(now.Sub(s.startAt)) / float64(demandHalfLife))
+	scale := math.Exp2(float64(now.Sub(s.startAt)) / float64(keyHalfLife))
 	if scale > maxSketchScale {
 		for i := range s.cells {
 			for k := range s.cells[i] {
--- a/internal/traffic/admission/returns.go
+++ b/internal/traffic/admission/returns.go
@@ -18,9 +18,9 @@
 // spread over the time in which the capacity that first attempts leave suffices for them. If that
 // is longer than they wait, only as many return in time as can be served; the others are told a
 // time beyond, and need not be refused again.
-func returnAfter(r Request, t Target, d *demand, capacity float64, random func() float64) time.Duration {
-	spare := max(capacity-d.firstRate(t.Instances), minSpare*capacity)
-	owed := d.refusedRate(t.Instances)
+func returnAfter(r Request, t Target, d demand, capacity float64, random func() float64) time.Duration {
+	spare := max(capacity-d.first, minSpare*capacity)
+	owed := max(d.total-capacity, 0)
 	excess := max(t.Queue-targetRounds*capacity, 0) / capacity
 	drain := time.Duration(excess * float64(r.Execution) * max(t.Pace, minPace))
 	left := float64(max(r.DeadlineLeft-minReturn-drain-r.Execution, 0))
--- a/internal/traffic/admission/simulation_test.go
+++ b/internal/traffic/admission/simulation_test.go
@@ -37,13 +37,16 @@
 // simulation plays loads against the slots of one server in simulated time. Each instance knows
 // its own requests, and those of the others as they were one to two report intervals before.
 type simulation struct {
-	now       time.Time
-	events    eventQueue
-	random    *rand.Rand
+	now    time.Time
+	events eventQueue
+	random *rand.Rand
+	// paces is a source of its own, so that the server is slow at the same times in each run.
+	paces     *rand.Rand
 	slots     int
 	instances int
 	interval  time.Duration
 	isOn      bool
+	counter   demandCounter
 	running   int
 	waiting   []*client
 	slowUntil time.Time
@@ -58,7 +61,24 @@
 type known struct {
 	own, reported, pending int
 	reportedAt, pendingAt  time.Time
-	controller             admission.Controller
+	// counter counts the demand at the instance. The demands are those of the other instances.
+	counter                       demandCounter
+	reportedDemand, pendingDemand float64
+	controller                    admission.Controller
+}
+
+// demandCounter counts the slots that are wanted, with a half-life of a second.
+type demandCounter struct {
+	work      float64
+	countedAt time.Time
+}
+
+func (c *demandCounter) at(now time.Time) float64 {
+	return c.work * math.Exp2(-now.Sub(c.countedAt).Seconds()) * math.Ln2
+}
+
+func (c *demandCounter) add(now time.Time, work float64) {
+	c.work, c.countedAt = c.at(now)/math.Ln2+work, now
 }
 
 type client struct {
@@ -74,9 +94,9 @@
 	meanPace = 1.4
 )
 
-func newSimulation(isOn bool, instances int, interval time.Duration) *simulation {
+func newSimulation(seed uint64, isOn bool, instances int, interval time.Duration) *simulation {
 	start := time.Unix(1e9, 0)
-	s := &simulation{now: start, start: start, random: rand.New(rand.NewPCG(1, 2)), slots: 6, instances: instances, interval: interval, isOn: isOn, knowledge: make([]known, instances), results: map[string]*result{}}
+	s := &simulation{now: start, start: start, random: rand.New(rand.NewPCG(seed, 1)), paces: rand.New(rand.NewPCG(seed, 2)), slots: 6, instances: instances, interval: interval, isOn: isOn, knowledge: make([]known, instances), results: map[string]*result{}}
 	for i := range s.knowledge {
 		s.after(time.Duration(s.random.Float64()*float64(interval)), func() { s.exchange(i) })
 	}
@@ -198,14 +218,17 @@
 	}
 	deadlineLeft := l.patience - elapsed
 	if s.isOn {
-		key := admission.KeyID{Service: "s", Key: l.key}
-		if l.key < 0 {
-			key.Key = 1000 + s.random.IntN(1000)
+		key := l.key
+		if key < 0 {
+			key = 1000 + s.random.IntN(1000)
 		}
+		demand := k.reportedDemand + k.counter.at(s.now)
+		s.counter.add(s.now, l.execution.Seconds()*meanPace)
+		k.counter.add(s.now, l.execution.Seconds()*meanPace)
 		d := k.controller.Decide(s.now, admission.Request{
 			Priority: l.priority, Key: key, HasKey: true, IsReturn: elapsed > 0, Execution: l.execution, Completion: completion,
 			ObjectiveLeft: l.objective - elapsed, DeadlineLeft: deadlineLeft,
-		}, admission.Target{Name: "s", Slots: s.slots, Queue: queue, Pace: meanPace, Age: s.now.Sub(k.reportedAt), Instances: s.instances}, s.random.Float64)
+		}, admission.Target{Name: "s", Service: "s", Demand: demand, Slots: s.slots, Queue: queue, Pace: meanPace, Age: s.now.Sub(k.reportedAt), Instances: s.instances}, s.random.Float64)
 		return d.IsAdmitted(), d.RetryAfter
 	}
 	// The decisions without the feature, as in dispatch.
@@ -222,6 +245,7 @@
 func (s *simulation) exchange(i int) {
 	k := &s.knowledge[i]
 	k.reported, k.reportedAt = k.pending, k.pendingAt
+	k.reportedDemand, k.pendingDemand = k.pendingDemand, s.counter.at(s.now)-k.counter.at(s.now)
 	k.pending, k.pendingAt = s.running+len(s.waiting)-k.own, s.now
 	if s.now.Before(s.ends) {
 		s.after(s.interval, func() { s.exchange(i) })
@@ -229,10 +253,10 @@
 }
 
 func (s *simulation) changePace() {
-	slow := time.Duration(s.random.ExpFloat64() * float64(400*time.Millisecond))
+	slow := time.Duration(s.paces.ExpFloat64() * float64(400*time.Millisecond))
 	s.slowUntil = s.now.Add(slow)
 	if s.now.Before(s.ends) || s.ends.IsZero() {
-		s.after(slow+time.Duration(s.random.ExpFloat64()*float64(1600*time.Millisecond)), s.changePace)
+		s.after(slow+time.Duration(s.paces.ExpFloat64()*float64(1600*time.Millisecond)), s.changePace)
 	}
 }
 
