--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -16,15 +16,19 @@
 	// objectiveShare is the part of the time left before the objective within which a first
 	// attempt must be expected to be answered. A fifth of the requests take three times as long
 	// as the others, and work has a coefficient of variation of up to 0.8.
-	objectiveShare = 0.7
+	objectiveShare = 0.75
 	// deadlineShare is the same for the deadline, for clients that return.
 	deadlineShare = 0.7
 	// targetRounds is the number of requests at a server, as a multiple of its slots, that
-	// keeps it busy. More make all of them late and serve no more.
-	targetRounds = 1.5
-	// correctionTime is the time within which the queue is corrected to that target. It is
-	// longer than the reports of other instances take, so that the queue does not oscillate.
-	correctionTime = 500 * time.Millisecond
+	// keeps it busy. More make all of them late and serve no more. Requests that go later find
+	// a shorter target, so that those that go first find a queue in which they are in time.
+	targetRounds     = 2.0
+	lessUrgentRounds = 1.6
+	returnRounds     = 1.3
+	excessRounds     = 1.0
+	// correctionTime is the time within which the queue is corrected to that target: about the
+	// age of the reports, so that the queue does not oscillate.
+	correctionTime = 300 * time.Millisecond
 	// staleAge is the age of reports from which they count as half as certain.
 	staleAge = 700 * time.Millisecond
 	// keyShare is the share of a server's capacity that one key may take while other requests
@@ -125,13 +129,13 @@
 	}
 	rank := newClass(r.Priority, r.IsReturn, c.isExcess(now, r, t, work, total, capacity, random))
 	d := divide(total, target, service, rank)
-	decision := Decision{Room: room(r, t, capacity), Demand: d.own, Before: d.before}
+	decision := Decision{Room: room(r, t, rank, capacity), Demand: d.own, Before: d.before}
 	decision.Share = min(max((decision.Room-d.before)/max(d.own, minDemand), 0), 1)
 	switch {
 	case isLate(r, t):
 		decision.Cause = CauseLate
 	case random() < decision.Share:
-	case rank >= 2*priorities:
+	case rank.isExcess():
 		decision.Cause = CauseKey
 	default:
 		decision.Cause = CauseShare
@@ -188,8 +192,17 @@
 
 // room returns the slots that the target has for new requests: its capacity, more while its
 // queue is below the target length, and less while it is above.
-func room(r Request, t Target, capacity float64) float64 {
-	correction := (targetRounds*capacity - t.Queue) * r.Execution.Seconds() * max(t.Pace, minPace) / correctionTime.Seconds()
+func room(r Request, t Target, rank class, capacity float64) float64 {
+	rounds := targetRounds
+	switch {
+	case rank.isExcess():
+		rounds = excessRounds
+	case rank.isReturn():
+		rounds = returnRounds
+	case rank > 0:
+		rounds = lessUrgentRounds
+	}
+	correction := (rounds*capacity - t.Queue) * r.Execution.Seconds() * max(t.Pace, minPace) / correctionTime.Seconds()
 	if t.isStale() {
 		correction /= 2
 	}
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -46,6 +46,7 @@
 							if sums[k] == nil {
 								sums[k] = &result{}
 							}
+							sums[k].causes = r.causes
 							sums[k].clients += r.clients
 							sums[k].inTime += r.inTime
 							sums[k].late += r.late
@@ -55,7 +56,7 @@
 					}
 					for _, l := range loads {
 						r := sums[l.name]
-						out += fmt.Sprintf(" | %s inTime %.3f late %.3f refused %.3f again %.3f value %.3f", l.name, r.prompt(), r.late/r.clients, r.refused/r.clients, r.again/r.clients, r.value())
+						out += fmt.Sprintf(" | %s inTime %.3f late %.3f refused %.3f again %.3f value %.3f %v", l.name, r.prompt(), r.late/r.clients, r.refused/r.clients, r.again/r.clients, r.value(), r.causes)
 						total += r.value() * r.clients
 						n += r.clients
 					}
--- a/internal/traffic/admission/demand.go
+++ b/internal/traffic/admission/demand.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	// demandHalfLife is the half-life of the counts behind the rates of demand. Rates follow a
-	// burst within a second, and an instance that serves three requests a second to a server
-	// still counts some.
-	demandHalfLife = time.Second
+	// halfLife is the half-life of the counts by class and key. A busy key stays busy for seconds,
+	// and an instance of a large fleet sees few of its requests. How much is wanted in total is
+	// known from reports, which are more recent.
+	halfLife = 4 * time.Second
 	// priorities are told apart up to this number. All lower ones count as one.
 	priorities = 8
 	// classes are the priorities, each for first attempts and returning clients, and each of
@@ -18,7 +18,7 @@
 )
 
 // window is the time that the decayed counts cover.
-var window = time.Duration(math.Round(float64(demandHalfLife) / math.Ln2))
+var window = time.Duration(math.Round(float64(halfLife) / math.Ln2))
 
 // class is the rank of a request among those that want the same slots. Lower ones go first.
 type class int
@@ -37,6 +37,7 @@
 }
 
 func (c class) isReturn() bool { return c/priorities%2 == 1 }
+func (c class) isExcess() bool { return c >= 2*priorities }
 
 // mix counts the work that this instance was asked to send, in seconds of a slot, with
 // exponential decay.
@@ -52,7 +53,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	decay := math.Exp2(-float64(elapsed) / float64(demandHalfLife))
+	decay := math.Exp2(-float64(elapsed) / float64(halfLife))
 	m.sum = 0
 	for i := range m.work {
 		m.work[i] *= decay
--- a/internal/traffic/admission/keys.go
+++ b/internal/traffic/admission/keys.go
@@ -16,10 +16,6 @@
 	maxSketchScale = 1 << 30
 )
 
-// keyHalfLife is the half-life of the counts by key. A busy key stays busy for seconds, and an
-// instance of a large fleet sees few of its requests.
-const keyHalfLife = 4 * time.Second
-
 // keySketch estimates the work for each key, with exponential decay and in bounded memory (a
 // count-min sketch). The zero value is empty.
 type keySketch struct {
@@ -44,7 +40,7 @@
 		s.seed = maphash.MakeSeed()
 	}
 	// Old counts decay relative to new ones, whose weight grows.
-	scale := math.Exp2(float64(now.Sub(s.startAt)) / float64(keyHalfLife))
+	scale := math.Exp2(float64(now.Sub(s.startAt)) / float64(halfLife))
 	if scale > maxSketchScale {
 		for i := range s.cells {
 			for k := range s.cells[i] {
--- a/internal/traffic/admission/simulation_test.go
+++ b/internal/traffic/admission/simulation_test.go
@@ -26,6 +26,7 @@
 // result is what the clients of a load got.
 type result struct {
 	clients, inTime, late, refused, again float64
+	causes                                map[string]float64
 }
 
 // served is the share of clients that got a response, and value is the mean value of a client,
@@ -113,7 +114,7 @@
 	s.ends = s.start.Add(length)
 	for i := range loads {
 		l := &loads[i]
-		s.results[l.name] = &result{}
+		s.results[l.name] = &result{causes: map[string]float64{}}
 		if l.to == 0 {
 			l.to = length
 		}
@@ -229,6 +230,7 @@
 			Priority: l.priority, Key: key, HasKey: true, IsReturn: elapsed > 0, Execution: l.execution, Completion: completion,
 			ObjectiveLeft: l.objective - elapsed, DeadlineLeft: deadlineLeft,
 		}, admission.Target{Name: "s", Service: "s", Demand: demand, Slots: s.slots, Queue: queue, Pace: meanPace, Age: s.now.Sub(k.reportedAt), Instances: s.instances}, s.random.Float64)
+		s.results[l.name].causes[string(d.Cause)]++
 		return d.IsAdmitted(), d.RetryAfter
 	}
 	// The decisions without the feature, as in dispatch.
