Wire admission by value into dispatch, and report demand between instances

Full servers were bounded by their queue alone, which instances know 0.1 to 0.6 s late. Reports now have the demand for each server (2 bytes a row), and dispatch asks the controller where features.Admission is on.

--- a/internal/fleet/peers/datagram.go
+++ b/internal/fleet/peers/datagram.go
@@ -37,7 +37,7 @@
 type loadTable []byte
 
 // The columns of a row. Shares are in percent, counts of attempts in tenths, times in
-// milliseconds.
+// milliseconds, demand in hundredths of a slot.
 const (
 	columnInFlight = iota
 	columnOpenConnections
@@ -51,6 +51,7 @@
 	columnFailures
 	columnUnansweredTime
 	columnSources
+	columnDemand
 	loadColumns
 )
 
@@ -92,6 +93,7 @@
 		columnFailures:        r.Failures * tenths,
 		columnUnansweredTime:  float64(r.UnansweredTime.Milliseconds()),
 		columnSources:         float64(r.Sources),
+		columnDemand:          r.Demand * percent,
 	}
 	if r.HasLoad {
 		columns[columnRunning] = float64(r.Load.Running)
@@ -138,6 +140,7 @@
 		Failures:       float64(column(columnFailures)) / tenths,
 		UnansweredTime: millis(columnUnansweredTime),
 		Sources:        column(columnSources),
+		Demand:         float64(column(columnDemand)) / percent,
 	}
 }
 
--- a/internal/fleet/peers/datagram_test.go
+++ b/internal/fleet/peers/datagram_test.go
@@ -14,7 +14,7 @@
 	whole := placement.Report{
 		Server: "a", InFlight: 3, OpenConnections: 70_000, LatencyFactor: 1.25,
 		Load: redwingstall.ServerLoad{Running: 4, Waiting: 2, Slots: 4, Slowdown: 3.5}, HasLoad: true, LoadAge: 120 * time.Millisecond,
-		Attempts: 12.5, Failures: 0.5, UnansweredTime: 700 * time.Millisecond, Sources: 49,
+		Attempts: 12.5, Failures: 0.5, UnansweredTime: 700 * time.Millisecond, Sources: 49, Demand: 6.25,
 	}
 	idle := placement.Report{Server: "b", LatencyFactor: 1}
 	table := encodeReports([]placement.Report{whole, idle})
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -36,8 +36,8 @@
 	// these send sums.
 	reportInterval = 200 * time.Millisecond
 	// maxLoadsPerDatagram keeps a datagram below the usual MTU.
-	maxLoadsPerDatagram = 48
-	// maxSumsPerDatagram bounds a datagram with sums to 28 KB. Fewer datagrams cost the
+	maxLoadsPerDatagram = 46
+	// maxSumsPerDatagram bounds a datagram with sums to 30 KB. Fewer datagrams cost the
 	// receivers less, and the next sums replace one that is lost.
 	maxSumsPerDatagram = 1000
 	maxKeysPerDatagram = 100
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -46,6 +46,7 @@
 	load          redwingstall.ServerLoad
 	loadAt        time.Time
 	health        health
+	demand        demandCounter
 	// wasEjected is whether the last estimate had the server ejected.
 	wasEjected bool
 	// reported is what was last reported to other instances.
@@ -63,6 +64,7 @@
 type reported struct {
 	inFlight        int
 	openConnections int
+	demand          float64
 }
 
 // Estimator tracks the load, speed and health of all servers. It is safe for concurrent
@@ -70,6 +72,8 @@
 type Estimator struct {
 	mu      sync.Mutex
 	servers map[string]*serverState
+	// mergedAt is when a report of other instances was last merged.
+	mergedAt time.Time
 	// totals are the last tables with sums of all instances, the newest last.
 	totals []receivedTable
 	// executionTimes are the mean execution times by route.
@@ -124,6 +128,10 @@
 	EjectedFor time.Duration
 	// FailureRate is the share of failures in the recent attempts of all instances.
 	FailureRate float64
+	// Demand is the number of slots that the requests of all instances want, and ReportedAt when
+	// this instance last received any report.
+	Demand     float64
+	ReportedAt time.Time
 }
 
 // Estimate estimates when a server would complete a request of a route.
@@ -160,6 +168,8 @@
 		FailureRate: s.failureRate(now),
 
 		PeerConnections: s.peerConnections(now),
+		Demand:          s.totalDemand(now),
+		ReportedAt:      e.mergedAt,
 	}
 }
 
--- a/internal/routing/placement/report.go
+++ b/internal/routing/placement/report.go
@@ -33,6 +33,8 @@
 	Sources int
 	// UnansweredTime is how long a response has been pending without any arriving.
 	UnansweredTime time.Duration
+	// Demand is the number of slots that requests want, whether they were sent or not.
+	Demand float64
 }
 
 // receivedReport is a report of another instance or failure domain.
@@ -65,7 +67,7 @@
 	for id, s := range e.servers {
 		if s.hasUnreported || s.inFlight > 0 {
 			reports = append(reports, s.report(now, id))
-			s.reported = reported{s.inFlight, s.openConnections}
+			s.reported = reported{s.inFlight, s.openConnections, s.demand.slotsAt(now)}
 		}
 		s.hasUnreported = false
 	}
@@ -104,6 +106,7 @@
 	r := Report{
 		Server: id, InFlight: s.inFlight, OpenConnections: s.openConnections, LatencyFactor: s.latencyFactor,
 		Load: s.load, HasLoad: age < time.Second, LoadAge: age, UnansweredTime: s.health.unansweredDuration(now),
+		Demand: s.demand.slotsAt(now),
 	}
 	r.Attempts, r.Failures = s.health.counter.countsAt(now)
 	return r
@@ -124,7 +127,7 @@
 // sumReports sums up the reports up to a scope.
 func (s *serverState) sumReports(now time.Time, id string, maxScope reportScope) (sum Report, isUsed bool) {
 	sum = s.report(now, id)
-	isUsed = s.samples > 0 || s.inFlight > 0
+	isUsed = s.samples > 0 || s.inFlight > 0 || sum.Demand > 0
 	sum.Sources = min(s.samples, 1)
 	factors := s.latencyFactor * float64(sum.Sources)
 	for _, r := range s.reports {
@@ -136,6 +139,7 @@
 		sum.OpenConnections += r.OpenConnections
 		sum.Attempts += r.Attempts
 		sum.Failures += r.Failures
+		sum.Demand += r.Demand
 		if r.UnansweredTime > 0 {
 			sum.UnansweredTime = max(sum.UnansweredTime, r.UnansweredTime+now.Sub(r.receivedAt))
 		}
@@ -177,6 +181,7 @@
 	defer e.mu.Unlock()
 	e.totals = slices.DeleteFunc(e.totals, func(t receivedTable) bool { return now.Sub(t.receivedAt) >= maxReportAge })
 	e.totals = append(e.totals, receivedTable{table, now})
+	e.mergedAt = now
 }
 
 // mergeTotal merges the newest sums about a server, unless that is done already.
@@ -190,6 +195,7 @@
 			continue
 		}
 		s.totalAt = table.receivedAt
+		r.Demand = max(r.Demand-s.reported.demand, 0)
 		r.InFlight = max(r.InFlight-s.reported.inFlight, 0)
 		r.OpenConnections = max(r.OpenConnections-s.reported.openConnections, 0)
 		s.merge(table.receivedAt, "total", r, scopeTotal)
@@ -200,6 +206,7 @@
 func (e *Estimator) mergeReports(now time.Time, source string, reports []Report, scope reportScope) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.mergedAt = now
 	for _, r := range reports {
 		e.server(r.Server).merge(now, source, r, scope)
 	}
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -48,8 +48,10 @@
 	Slots   int
 	// Queue is the number of requests there, running or waiting.
 	Queue float64
-	// Pace is the execution time there as a multiple of the mean.
-	Pace float64
+	// Execution is the mean execution time of all requests there, and Pace the execution time
+	// there as a multiple of that at all servers.
+	Execution time.Duration
+	Pace      float64
 	// Age is the age of what is known of other instances' requests.
 	Age time.Duration
 	// Demand is the number of slots that the requests of all instances want.
@@ -68,12 +70,14 @@
 	IsReturn bool
 	// Execution is the mean execution time of the route's requests.
 	Execution time.Duration
-	// Completion is the expected time until the response.
-	Completion time.Duration
 	// ObjectiveLeft and DeadlineLeft are the times left before the latency objective and
 	// before the client gives up.
 	ObjectiveLeft time.Duration
 	DeadlineLeft  time.Duration
+	// ReturnLeft is the time within which the client may return if it is refused.
+	ReturnLeft time.Duration
+	// IsCounted is set if an earlier decision on the request has counted its work.
+	IsCounted bool
 }
 
 // Cause is why a request is refused. Metrics and logs use these names.
@@ -88,6 +92,8 @@
 	CauseShare Cause = "share"
 	// CauseKey is the same for a request beyond the share of its key.
 	CauseKey Cause = "key"
+	// CauseFull means that the queues are at their bounds.
+	CauseFull Cause = "full"
 )
 
 // Decision is the result of a decision and its inputs.
@@ -102,6 +108,10 @@
 	Room   float64
 	Demand float64
 	Before float64
+	// Completion is the expected time until the response.
+	Completion time.Duration
+	// IsStale is set if the reports of other instances counted as half as certain.
+	IsStale bool
 }
 
 // IsAdmitted reports whether the request is sent.
@@ -129,10 +139,10 @@
 	}
 	rank := newClass(r.Priority, r.IsReturn, c.isExcess(now, r, t, work, total, capacity, random))
 	d := divide(total, target, service, rank)
-	decision := Decision{Room: room(r, t, rank, capacity), Demand: d.own, Before: d.before}
+	decision := Decision{Room: room(t, rank, capacity), Demand: d.own, Before: d.before, Completion: completion(r, t), IsStale: t.isStale()}
 	decision.Share = min(max((decision.Room-d.before)/max(d.own, minDemand), 0), 1)
 	switch {
-	case isLate(r, t):
+	case isLate(r, t, decision.Completion):
 		decision.Cause = CauseLate
 	case random() < decision.Share:
 	case rank.isExcess():
@@ -143,8 +153,10 @@
 	if !decision.IsAdmitted() {
 		decision.RetryAfter = returnAfter(r, t, d, capacity, random)
 	}
-	target.add(rank, work)
-	service.add(rank, work)
+	if !r.IsCounted {
+		target.add(rank, work)
+		service.add(rank, work)
+	}
 	return decision
 }
 
@@ -171,11 +183,18 @@
 // instance has seen.
 const keyPrior = 1
 
+// completion returns the expected time until the response: the request's own execution behind
+// requests of the mean execution time.
+func completion(r Request, t Target) time.Duration {
+	rounds := max((t.Queue+1)/float64(max(t.Slots, 1))-1, 0)
+	return time.Duration(max(t.Pace, minPace) * (float64(r.Execution) + rounds*float64(t.Execution)))
+}
+
 // isLate reports whether a first attempt cannot be expected within its objective, or a returning
 // client's before its deadline. It is not late while a slot is free: the server may be slow only
 // for a moment, and no other request waits for the slot.
-func isLate(r Request, t Target) bool {
-	if now := float64(r.Completion); now > deadlineShare*float64(r.DeadlineLeft) {
+func isLate(r Request, t Target, completion time.Duration) bool {
+	if float64(completion) > deadlineShare*float64(r.DeadlineLeft) {
 		return true
 	}
 	if r.IsReturn || t.Queue < float64(t.Slots) {
@@ -185,14 +204,14 @@
 	if t.isStale() {
 		margin *= 2
 	}
-	return float64(r.Completion) > (1-margin)*float64(r.ObjectiveLeft)
+	return float64(completion) > (1-margin)*float64(r.ObjectiveLeft)
 }
 
 func (t Target) isStale() bool { return t.Age > staleAge }
 
 // room returns the slots that the target has for new requests: its capacity, more while its
 // queue is below the target length, and less while it is above.
-func room(r Request, t Target, rank class, capacity float64) float64 {
+func room(t Target, rank class, capacity float64) float64 {
 	rounds := targetRounds
 	switch {
 	case rank.isExcess():
@@ -202,7 +221,7 @@
 	case rank > 0:
 		rounds = lessUrgentRounds
 	}
-	correction := (rounds*capacity - t.Queue) * r.Execution.Seconds() * max(t.Pace, minPace) / correctionTime.Seconds()
+	correction := (rounds*capacity - t.Queue) * t.Execution.Seconds() * max(t.Pace, minPace) / correctionTime.Seconds()
 	if t.isStale() {
 		correction /= 2
 	}
--- a/internal/traffic/admission/returns.go
+++ b/internal/traffic/admission/returns.go
@@ -8,10 +8,11 @@
 	minReturn = 80 * time.Millisecond
 	// minSpare is the least share of the capacity that returning clients are assumed to find.
 	// Bursts end, and what is known of them is from the last second.
-	minSpare = 0.2
-	// maxReturnRounds bounds the time that a client is told, in multiples of the time that it
-	// has left.
-	maxReturnRounds = 4.0
+	minSpare = 0.1
+	// maxReturnRounds bounds the time over which returns are spread, in multiples of the time
+	// that a client has left, and maxToldRounds the time that it is told.
+	maxReturnRounds = 20.0
+	maxToldRounds   = 2.0
 )
 
 // returnAfter returns when a refused client should return. The refused ones of all instances are
@@ -22,8 +23,8 @@
 	spare := max(capacity-d.first, minSpare*capacity)
 	owed := max(d.total-capacity, 0)
 	excess := max(t.Queue-targetRounds*capacity, 0) / capacity
-	drain := time.Duration(excess * float64(r.Execution) * max(t.Pace, minPace))
-	left := float64(max(r.DeadlineLeft-minReturn-drain-r.Execution, 0))
-	spread := left * min(owed/spare, maxReturnRounds)
-	return minReturn + drain + time.Duration(max(spread, float64(minReturn))*random())
+	drain := time.Duration(excess * float64(t.Execution) * max(t.Pace, minPace))
+	left := float64(max(r.ReturnLeft-minReturn-drain-r.Execution, 0))
+	wait := max(left*min(owed/spare, maxReturnRounds), float64(minReturn)) * random()
+	return minReturn + drain + time.Duration(min(wait, maxToldRounds*left))
 }
--- a/internal/traffic/admission/simulation_test.go
+++ b/internal/traffic/admission/simulation_test.go
@@ -42,15 +42,16 @@
 	events eventQueue
 	random *rand.Rand
 	// paces is a source of its own, so that the server is slow at the same times in each run.
-	paces     *rand.Rand
-	slots     int
-	instances int
-	interval  time.Duration
-	isOn      bool
-	counter   demandCounter
-	running   int
-	waiting   []*client
-	slowUntil time.Time
+	paces         *rand.Rand
+	slots         int
+	instances     int
+	interval      time.Duration
+	isOn          bool
+	counter       demandCounter
+	running       int
+	waiting       []*client
+	slowUntil     time.Time
+	meanExecution time.Duration
 	// ends is the time at which the arrivals end, and start that at which they begin.
 	start, ends time.Time
 	knowledge   []known
@@ -112,6 +113,12 @@
 
 func (s *simulation) run(length time.Duration, loads ...load) map[string]*result {
 	s.ends = s.start.Add(length)
+	work, requests := 0.0, 0.0
+	for _, l := range loads {
+		work += l.perSecond * float64(l.execution)
+		requests += l.perSecond
+	}
+	s.meanExecution = time.Duration(work / requests)
 	for i := range loads {
 		l := &loads[i]
 		s.results[l.name] = &result{causes: map[string]float64{}}
@@ -227,9 +234,9 @@
 		s.counter.add(s.now, l.execution.Seconds()*meanPace)
 		k.counter.add(s.now, l.execution.Seconds()*meanPace)
 		d := k.controller.Decide(s.now, admission.Request{
-			Priority: l.priority, Key: key, HasKey: true, IsReturn: elapsed > 0, Execution: l.execution, Completion: completion,
-			ObjectiveLeft: l.objective - elapsed, DeadlineLeft: deadlineLeft,
-		}, admission.Target{Name: "s", Service: "s", Demand: demand, Slots: s.slots, Queue: queue, Pace: meanPace, Age: s.now.Sub(k.reportedAt), Instances: s.instances}, s.random.Float64)
+			Priority: l.priority, Key: key, HasKey: true, IsReturn: elapsed > 0, Execution: l.execution,
+			ObjectiveLeft: l.objective - elapsed, DeadlineLeft: deadlineLeft, ReturnLeft: deadlineLeft,
+		}, admission.Target{Name: "s", Service: "s", Demand: demand, Slots: s.slots, Queue: queue, Execution: s.meanExecution, Pace: meanPace, Age: s.now.Sub(k.reportedAt), Instances: s.instances}, s.random.Float64)
 		s.results[l.name].causes[string(d.Cause)]++
 		return d.IsAdmitted(), d.RetryAfter
 	}
--- a/internal/traffic/dispatch/admission.go
+++ b/internal/traffic/dispatch/admission.go
@@ -1,9 +1,90 @@
 package dispatch
 
 import (
+	"strconv"
 	"time"
+
+	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/traffic/admission"
 )
 
+// admit reports whether the request may be sent to the server as far as load is concerned, or why
+// not. A hedge is admitted by the expected completion only: it must not count as demand.
+func (d *Dispatcher) admit(s *view.Snapshot, j *job, c *choice, now time.Time) (rejection, bool) {
+	switch {
+	case !d.features().Admission || j.isHedging:
+		if d.shouldShed(j, c, now) {
+			return rejection{ReasonOverload, d.overloadRetryAfter(j, c.estimate.Completion, now), c}, false
+		}
+		return rejection{}, true
+	case j.admittedTo == c.server.ID:
+		// It waited for a permit of the server.
+		return rejection{}, true
+	}
+	c.decision = d.decide(s, j, c, now)
+	if !c.decision.IsAdmitted() {
+		return d.rejectByValue(j, c), false
+	}
+	j.admittedTo = c.server.ID
+	return rejection{}, true
+}
+
+// decide decides on the request by what a response is still worth to its client.
+func (d *Dispatcher) decide(s *view.Snapshot, j *job, c *choice, now time.Time) admission.Decision {
+	execution, meanExecution := d.Estimator.RouteExecutionTime(j.route.Name), d.Estimator.ServiceExecutionTime(j.service)
+	rounds := max(1, (c.estimate.QueueLength+1)/float64(max(c.server.Slots, 1)))
+	pace := float64(c.estimate.Completion) / (rounds * float64(execution))
+	c.knownFor = now.Sub(c.estimate.ReportedAt)
+	if len(s.Peers) <= 1 {
+		c.knownFor = 0
+	}
+	if !j.isDemandCounted {
+		d.Estimator.CountDemand(now, c.server.ID, time.Duration(pace*float64(execution)))
+	}
+	decision := d.admission.Decide(now, admission.Request{
+		Priority: j.route.Priority, Key: j.meta.Key, HasKey: j.isKeyed(), IsReturn: j.isClientRetry, Execution: execution,
+		ObjectiveLeft: j.latencyTarget.Sub(now), DeadlineLeft: j.deadline.Sub(now), ReturnLeft: returnLeft(j, now), IsCounted: j.isDemandCounted,
+	}, admission.Target{
+		Name: c.server.ID, Service: j.service, Slots: c.server.Slots, Queue: c.estimate.QueueLength, Execution: meanExecution, Pace: pace,
+		Demand: c.estimate.Demand, Age: c.knownFor, Instances: len(s.Peers),
+	}, d.Random)
+	j.isDemandCounted = true
+	if decision.IsStale {
+		d.Counter.Count("admission.stale")
+	}
+	return decision
+}
+
+// rejectByValue rejects a request that is not admitted, and counts why.
+func (d *Dispatcher) rejectByValue(j *job, c *choice) rejection {
+	d.Counter.Count("admission.refused." + string(c.decision.Cause))
+	if j.isClientRetry {
+		d.Counter.Count("admission.refusedAgain")
+	}
+	return rejection{ReasonNotAdmitted, c.decision.RetryAfter, c}
+}
+
+// returnLeft returns the time within which the client may return. Its own timeout may be longer
+// than that of the route, which bounds one attempt.
+func returnLeft(j *job, now time.Time) time.Duration {
+	if j.meta.ClientTimeout == 0 {
+		return j.deadline.Sub(now)
+	}
+	return j.request.Arrived.Add(j.meta.ClientTimeout).Sub(now)
+}
+
+// decisionFields returns the inputs of the decision on admission and their age, for logs.
+func (c *choice) decisionFields() []any {
+	if c.decision.IsAdmitted() {
+		return nil
+	}
+	f := func(x float64) string { return strconv.FormatFloat(x, 'g', 3, 64) }
+	return []any{
+		"cause", c.decision.Cause, "share", f(c.decision.Share), "room", f(c.decision.Room), "demand", f(c.decision.Demand),
+		"before", f(c.decision.Before), "reportAgeMillis", c.knownFor.Milliseconds(),
+	}
+}
+
 // shouldShed reports whether overload requires the request to be rejected. A first
 // attempt of a client is shed if the queue would delay it beyond the latency
 // objective: serving it late would delay all requests behind it too. A client's
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -8,6 +8,7 @@
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/admission"
 	"github.com/redwingstall/redwingstall/internal/traffic/pace"
 )
 
@@ -68,6 +69,10 @@
 	hasIdle       bool
 	hasConnection bool
 	viewAge       int64
+	// decision is that on admission, if there was one, and knownFor the age of the reports that
+	// it was based on.
+	decision admission.Decision
+	knownFor time.Duration
 }
 
 // hasCapacity reports whether the server's queue has room for the request and a
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/redwingstall/redwingstall/internal/node/features"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/routing/table"
+	"github.com/redwingstall/redwingstall/internal/traffic/admission"
 	"github.com/redwingstall/redwingstall/internal/traffic/budget"
 	"github.com/redwingstall/redwingstall/internal/traffic/pace"
 	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
@@ -50,6 +51,7 @@
 	ReasonNoServer        = "noServer"
 	ReasonNoOwner         = "noOwner"
 	ReasonOverload        = "overload"
+	ReasonNotAdmitted     = "notAdmitted"
 	ReasonServerLimit     = "serverLimit"
 	ReasonServerBackoff   = "serverBackoff"
 	ReasonTimeout         = "timeout"
@@ -122,6 +124,7 @@
 	Config
 	ownerMisses    ownerMisses
 	clientTimeouts clientTimeouts
+	admission      admission.Controller
 	endChecks      endChecks
 	// backoffs are the servers that want no requests from this instance for a time, and
 	// warmups those that are in warm-up by their own word.
@@ -174,6 +177,10 @@
 	// permitWait is the time that was spent on permits for servers with a limit.
 	permitWait time.Duration
 	isolation  isolation
+	// admittedTo is the server that the request was last admitted to, and isDemandCounted is
+	// set once it counts as demand.
+	admittedTo      string
+	isDemandCounted bool
 }
 
 // isKeyed reports whether only the owner of its key may run the request.
@@ -283,7 +290,7 @@
 	if r.best == nil {
 		return
 	}
-	d.Log.Info("refusal", "id", j.meta.ID, "route", j.route.Name, "server", r.best.server.ID, "queue", r.best.estimate.QueueLength,
+	d.Log.With(r.best.decisionFields()...).Info("refusal", "id", j.meta.ID, "route", j.route.Name, "server", r.best.server.ID, "queue", r.best.estimate.QueueLength,
 		"expectedMillis", r.best.estimate.Completion.Milliseconds(), "isResting", r.best.estimate.IsEjected, "isReturn", j.isClientRetry,
 		"targetLeftMillis", time.Until(j.latencyTarget).Milliseconds(), "leftMillis", time.Until(j.deadline).Milliseconds(),
 		"retryAfterMillis", r.retryAfter.Milliseconds(), "view", r.best.viewAge)
@@ -323,6 +330,9 @@
 		return d.routerAnswer(j, http.StatusServiceUnavailable, 0), ReasonClientGone
 	}
 	retryAfter := max(r.retryAfter, minRetryAfter)
+	if r.reason == ReasonNotAdmitted {
+		return d.routerAnswer(j, http.StatusServiceUnavailable, retryAfter), r.reason // it is spread already
+	}
 	if r.reason == ReasonServerLimit || r.reason == ReasonServerBackoff || r.reason == ReasonQuarantined {
 		// A client that returns earlier is refused again.
 		retryAfter = d.spreadLater(retryAfter)
--- a/internal/traffic/dispatch/owner.go
+++ b/internal/traffic/dispatch/owner.go
@@ -70,8 +70,11 @@
 	if left := d.backoffs.Left(now, c.server.Process()); left > 0 {
 		return nil, rejection{ReasonServerBackoff, left, c}
 	}
+	if rejected, isAdmitted := d.admit(s, j, c, now); !isAdmitted {
+		return nil, rejected
+	}
 	isFull := !c.hasConnection || c.estimate.QueueLength >= ownerQueuePerSlot*float64(c.server.Slots)
-	if d.shouldShed(j, c, now) || isFull || isOwnerLost(c) || !d.takeWarmupCapacity(s, c.server, now) {
+	if isFull || isOwnerLost(c) || !d.takeWarmupCapacity(s, c.server, now) {
 		return nil, rejection{ReasonOverload, d.overloadRetryAfter(j, c.estimate.Completion, now), c}
 	}
 	return c, rejection{}
--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -6,6 +6,7 @@
 
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/admission"
 )
 
 // choosePooled selects the server with the lowest cost among a random sample.
@@ -45,10 +46,18 @@
 	case fastest == nil:
 		// All servers are at their limits, of warm-up or of their own.
 		return nil, d.rejectAtLimits(j, usable, now)
+	case best == nil && d.features().Admission && !j.isHedging:
+		// The queues of all servers are at their bounds.
+		fastest.decision = d.decide(s, j, fastest, now)
+		if fastest.decision.IsAdmitted() {
+			fastest.decision.Cause, fastest.decision.RetryAfter = admission.CauseFull, max(fastest.estimate.Completion/2, d.notExecutedRetryAfter(j))
+		}
+		return nil, d.rejectByValue(j, fastest)
 	case best == nil:
 		return nil, rejection{ReasonOverload, max(fastest.estimate.Completion/2, d.notExecutedRetryAfter(j)), fastest}
-	case d.shouldShed(j, best, now):
-		return nil, rejection{ReasonOverload, d.overloadRetryAfter(j, best.estimate.Completion, now), best}
+	}
+	if rejected, isAdmitted := d.admit(s, j, best, now); !isAdmitted {
+		return nil, rejected
 	}
 	if !d.takeWarmupCapacity(s, best.server, now) {
 		return nil, rejection{ReasonOverload, fastest.estimate.Completion / 2, best}
