--- a/internal/traffic/admission/demand.go
+++ b/internal/traffic/admission/demand.go
@@ -12,9 +12,11 @@
 	halfLife = 4 * time.Second
 	// priorities are told apart up to this number. All lower ones count as one.
 	priorities = 8
-	// classes are the priorities, each for first attempts and returning clients, and each of
-	// these within and beyond the fair share of its key.
-	classes = 4 * priorities
+	// levels are the priorities, each for requests of usual length and long ones.
+	levels = 2 * priorities
+	// classes are the levels, each for first attempts and returning clients, and each of these
+	// within and beyond the fair share of its key.
+	classes = 4 * levels
 )
 
 // window is the time that the decayed counts cover.
@@ -24,20 +26,24 @@
 type class int
 
 // newClass ranks requests beyond the share of their key behind all others, so that a busy key
-// costs other keys nothing, and returning clients behind first attempts.
-func newClass(priority int, isReturn, isExcess bool) class {
-	c := min(max(priority, 0), priorities-1)
+// costs other keys nothing, and returning clients behind first attempts. Within a priority, long
+// requests go behind those that earn as much with less time of a slot.
+func newClass(priority int, isLong, isReturn, isExcess bool) class {
+	c := 2 * min(max(priority, 0), priorities-1)
+	if isLong {
+		c++
+	}
 	if isReturn {
-		c += priorities
+		c += levels
 	}
 	if isExcess {
-		c += 2 * priorities
+		c += 2 * levels
 	}
 	return class(c)
 }
 
-func (c class) isReturn() bool { return c/priorities%2 == 1 }
-func (c class) isExcess() bool { return c >= 2*priorities }
+func (c class) isReturn() bool { return c/levels%2 == 1 }
+func (c class) isExcess() bool { return c >= 2*levels }
 
 // mix counts the work that this instance was asked to send, in seconds of a slot, with
 // exponential decay.
@@ -46,6 +52,16 @@
 	sum  float64
 	// countedAt is the time that the counts are decayed to.
 	countedAt time.Time
+	// tightest is the shortest time that a recent first attempt had before its objective.
+	tightest   time.Duration
+	tightestAt time.Time
+}
+
+// noteObjective records the time that a first attempt has before its objective.
+func (m *mix) noteObjective(now time.Time, left time.Duration) {
+	if m.tightest == 0 || left <= m.tightest || now.Sub(m.tightestAt) > halfLife {
+		m.tightest, m.tightestAt = left, now
+	}
 }
 
 func (m *mix) decayTo(now time.Time) {
--- a/internal/traffic/admission/simulation_test.go
+++ b/internal/traffic/admission/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -29,6 +30,18 @@
 	causes                                map[string]float64
 }
 
+func (r *result) add(o *result) {
+	r.clients += o.clients
+	r.inTime += o.inTime
+	r.late += o.late
+	r.refused += o.refused
+	r.again += o.again
+}
+
+func (r result) String() string {
+	return fmt.Sprintf("in time %.3f, late %.3f, refused %.3f, refused again %.3f, value %.3f", r.prompt(), r.late/r.clients, r.refused/r.clients, r.again/r.clients, r.value())
+}
+
 // served is the share of clients that got a response, and value is the mean value of a client,
 // where a late response is worth 0.4 and another refusal costs 0.3.
 func (r result) served() float64 { return (r.inTime + r.late) / r.clients }
@@ -106,11 +119,6 @@
 	return s
 }
 
-// capacity is the rate at which a server runs requests of an execution time.
-func (s *simulation) capacity(execution time.Duration) float64 {
-	return float64(s.slots) / (execution.Seconds() * meanPace)
-}
-
 func (s *simulation) run(length time.Duration, loads ...load) map[string]*result {
 	s.ends = s.start.Add(length)
 	work, requests := 0.0, 0.0
@@ -121,7 +129,7 @@
 	s.meanExecution = time.Duration(work / requests)
 	for i := range loads {
 		l := &loads[i]
-		s.results[l.name] = &result{causes: map[string]float64{}}
+		s.results[l.name] = &result{}
 		if l.to == 0 {
 			l.to = length
 		}
@@ -237,7 +245,6 @@
 			Priority: l.priority, Key: key, HasKey: true, IsReturn: elapsed > 0, Execution: l.execution,
 			ObjectiveLeft: l.objective - elapsed, DeadlineLeft: deadlineLeft, ReturnLeft: deadlineLeft,
 		}, admission.Target{Name: "s", Service: "s", Demand: demand, Slots: s.slots, Queue: queue, Execution: s.meanExecution, Pace: meanPace, Age: s.now.Sub(k.reportedAt), Instances: s.instances}, s.random.Float64)
-		s.results[l.name].causes[string(d.Cause)]++
 		return d.IsAdmitted(), d.RetryAfter
 	}
 	// The decisions without the feature, as in dispatch.
