--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -26,9 +26,6 @@
 	lessUrgentRounds = 1.6
 	returnRounds     = 1.3
 	excessRounds     = 1.0
-	// tightShare is the part of the queue with which the requests of the tightest objective are
-	// just in time that all may fill. The rest is for what is not known of yet.
-	tightShare = 0.9
 	// longFactor is the execution time from which a request is long, as a multiple of the mean.
 	longFactor = 2.0
 	// correctionTime is the time within which the queue is corrected to that target: about the
@@ -142,12 +139,9 @@
 	if t.isStale() {
 		total = max(total, estimateAlone(target, t.Instances, capacity))
 	}
-	if !r.IsReturn {
-		service.noteObjective(now, r.ObjectiveLeft)
-	}
 	rank := newClass(r.Priority, float64(r.Execution) > longFactor*float64(t.Execution), r.IsReturn, c.isExcess(now, r, t, work, total, capacity, random))
 	d := divide(total, target, service, rank)
-	decision := Decision{Room: room(t, rank, service.tightest, capacity), Demand: d.own, Before: d.before, Completion: completion(r, t), IsStale: t.isStale()}
+	decision := Decision{Room: room(t, rank, capacity), Demand: d.own, Before: d.before, Completion: completion(r, t), IsStale: t.isStale()}
 	decision.Share = min(max((decision.Room-d.before)/max(d.own, minDemand), 0), 1)
 	switch {
 	case isLate(r, t, decision.Completion):
@@ -219,7 +213,7 @@
 
 // room returns the slots that the target has for new requests: its capacity, more while its
 // queue is below the target length, and less while it is above.
-func room(t Target, rank class, tightest time.Duration, capacity float64) float64 {
+func room(t Target, rank class, capacity float64) float64 {
 	rounds := targetRounds
 	switch {
 	case rank.isExcess():
@@ -229,9 +223,6 @@
 	case rank > 0:
 		rounds = lessUrgentRounds
 	}
-	if execution := max(t.Pace, minPace) * float64(t.Execution); execution > 0 {
-		rounds = min(rounds, max(tightShare*objectiveShare*float64(tightest)/execution, 1))
-	}
 	correction := (rounds*capacity - t.Queue) * t.Execution.Seconds() * max(t.Pace, minPace) / correctionTime.Seconds()
 	if t.isStale() {
 		correction /= 2
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -96,6 +96,14 @@
 		lookups("long", 0.15).with(func(l *load) { l.execution, l.objective, l.patience = 750*ms, 2500*ms, 8*time.Second }))
 }
 
+// Guards against clients that return at the wrong time and thereby make first attempts late.
+func TestFirstAttemptsGoBeforeReturns(t *testing.T) {
+	compare(t, 200*ms, func(t *testing.T, o outcome) {
+		require.Greater(t, o.on["patient"].prompt(), 0.645)
+		require.Greater(t, o.on["patient"].prompt(), o.off["patient"].prompt()+0.1)
+	}, lookups("patient", 0.6), lookups("returning", 0.6).with(func(l *load) { l.returnAfter = time.Second }))
+}
+
 // Guards against clients that repeat at once and thereby take the place of patient ones.
 func TestRepeatingClientsCostOthersLittle(t *testing.T) {
 	compare(t, 200*ms, func(t *testing.T, o outcome) {
@@ -116,6 +124,7 @@
 // Guards against decisions from reports that are 1.2 to 2.4 s old as if they were new.
 func TestStaleReports(t *testing.T) {
 	compare(t, 1200*ms, func(t *testing.T, o outcome) {
+		require.Greater(t, o.on["all"].prompt(), 0.42)
 		require.Greater(t, o.on["all"].value(), o.off["all"].value()+0.1)
 	}, lookups("all", 1.3))
 	decide := func(age time.Duration, objective time.Duration) admission.Cause {
--- a/internal/traffic/admission/demand.go
+++ b/internal/traffic/admission/demand.go
@@ -52,16 +52,6 @@
 	sum  float64
 	// countedAt is the time that the counts are decayed to.
 	countedAt time.Time
-	// tightest is the shortest time that a recent first attempt had before its objective.
-	tightest   time.Duration
-	tightestAt time.Time
-}
-
-// noteObjective records the time that a first attempt has before its objective.
-func (m *mix) noteObjective(now time.Time, left time.Duration) {
-	if m.tightest == 0 || left <= m.tightest || now.Sub(m.tightestAt) > halfLife {
-		m.tightest, m.tightestAt = left, now
-	}
 }
 
 func (m *mix) decayTo(now time.Time) {
--- a/internal/traffic/admission/simulation_test.go
+++ b/internal/traffic/admission/simulation_test.go
@@ -22,6 +22,8 @@
 	from, to  time.Duration
 	// repeats is how often a refused client repeats at once, whatever it was told.
 	repeats int
+	// returnAfter is when refused clients come back, if not when they were told.
+	returnAfter time.Duration
 }
 
 // result is what the clients of a load got.
@@ -180,6 +182,9 @@
 	if c.refusals++; c.refusals > 1 {
 		r.again++
 	}
+	if c.load.returnAfter > 0 {
+		retryAfter = c.load.returnAfter
+	}
 	if c.refusals <= c.load.repeats {
 		retryAfter = 5 * time.Millisecond
 	}
@@ -225,7 +230,11 @@
 
 func (s *simulation) decide(c *client, k *known) (isAdmitted bool, retryAfter time.Duration) {
 	l := c.load
-	queue := float64(k.own + k.reported)
+	reported, reportedDemand := k.reported, k.reportedDemand
+	if s.now.Sub(k.reportedAt) > 1500*time.Millisecond {
+		reported, reportedDemand = 0, 0 // no report is used for longer
+	}
+	queue := float64(k.own + reported)
 	rounds := max(1, (queue+1)/float64(s.slots))
 	completion := time.Duration(float64(l.execution) * meanPace * rounds)
 	elapsed := s.now.Sub(c.began)
@@ -238,7 +247,7 @@
 		if key < 0 {
 			key = 1000 + s.random.IntN(1000)
 		}
-		demand := k.reportedDemand + k.counter.at(s.now)
+		demand := reportedDemand + k.counter.at(s.now)
 		s.counter.add(s.now, l.execution.Seconds()*meanPace)
 		k.counter.add(s.now, l.execution.Seconds()*meanPace)
 		d := k.controller.Decide(s.now, admission.Request{
