Admit to a pooled server with a free slot, and test the wiring of admission

The demand counted for one server of a pool comes from the choices of the last second; while it has a free slot, the next requests go to others.

--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -58,6 +58,9 @@
 	Age time.Duration
 	// Demand is the number of slots that the requests of all instances want.
 	Demand float64
+	// IsPooled is set if other servers could run the request too. The demand for one of them says
+	// little while it has a free slot, since the next requests go to others.
+	IsPooled bool
 	// Instances is the number of instances that send requests there.
 	Instances int
 }
@@ -143,6 +146,9 @@
 	d := divide(total, target, service, rank)
 	decision := Decision{Room: room(t, rank, capacity), Demand: d.own, Before: d.before, Completion: completion(r, t), IsStale: t.isStale()}
 	decision.Share = min(max((decision.Room-d.before)/max(d.own, minDemand), 0), 1)
+	if t.IsPooled && t.Queue < capacity {
+		decision.Share = 1
+	}
 	switch {
 	case isLate(r, t, decision.Completion):
 		decision.Cause = CauseLate
--- a/internal/traffic/dispatch/admission.go
+++ b/internal/traffic/dispatch/admission.go
@@ -46,7 +46,7 @@
 		ObjectiveLeft: j.latencyTarget.Sub(now), DeadlineLeft: j.deadline.Sub(now), ReturnLeft: returnLeft(j, now), IsCounted: j.isDemandCounted,
 	}, admission.Target{
 		Name: c.server.ID, Service: j.service, Slots: c.server.Slots, Queue: c.estimate.QueueLength, Execution: meanExecution, Pace: pace,
-		Demand: c.estimate.Demand, Age: c.knownFor, Instances: len(s.Peers),
+		Demand: c.estimate.Demand, Age: c.knownFor, IsPooled: !j.isKeyed(), Instances: len(s.Peers),
 	}, d.Random)
 	j.isDemandCounted = true
 	if decision.IsStale {
--- /dev/null
+++ b/internal/traffic/dispatch/admission_test.go
@@ -0,0 +1,65 @@
+package dispatch_test
+
+import (
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall/internal/entry/backends"
+	"github.com/redwingstall/redwingstall/internal/node/features"
+	"github.com/redwingstall/redwingstall/internal/routing/placement"
+)
+
+// Guards against requests to a server that other instances are about to fill, which its queue
+// does not show yet, and against a change of decisions where the feature is not in use.
+func TestDemandOfOtherInstancesBoundsAdmission(t *testing.T) {
+	const requests = 200
+	for name, c := range map[string]struct {
+		path           string
+		isOn           bool
+		queue          int
+		demand         float64
+		minOK, maxOK   int
+		unreportedTime time.Duration
+	}{
+		"owner with much demand":             {"/keyed/x", true, 6, 40, 10, 60, 0},
+		"owner with little demand":           {"/keyed/x", true, 6, 2, requests, requests, 0},
+		"owner with a free slot":             {"/keyed/x", true, 0, 40, 20, 100, 0},
+		"owner without the feature":          {"/keyed/x", false, 6, 40, requests, requests, 0},
+		"pool with much demand":              {"/safe/x", true, 6, 40, 10, 60, 0},
+		"pool with a free slot":              {"/safe/x", true, 3, 40, requests, requests, 0},
+		"pool without the feature":           {"/safe/x", false, 6, 40, requests, requests, 0},
+		"owner whose reports are not in use": {"/keyed/x", true, 6, 40, requests, requests, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newFixture(func(int, string, backends.Request) (backends.Response, error) { return signed(200), nil })
+				w.dispatcher.Features = func() features.Set { return features.Set{Admission: c.isOn} }
+				ok := 0
+				for range requests {
+					reports := []placement.Report{}
+					for _, id := range []string{"s1", "s2", "s3", "k1", "k2"} {
+						reports = append(reports, placement.Report{Server: id, InFlight: c.queue, LatencyFactor: 1, Demand: c.demand})
+					}
+					w.dispatcher.Estimator.MergeReports(time.Now(), "peer", reports)
+					time.Sleep(c.unreportedTime + time.Second)
+					answer := w.get(t.Context(), c.path, "Shard-Key", "5")
+					if answer.Status == 200 {
+						ok++
+						continue
+					}
+					require.Equal(t, 503, answer.Status)
+					seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+					require.NoError(t, err)
+					require.Positive(t, seconds)
+				}
+				require.Len(t, w.backends.sent, ok)
+				require.GreaterOrEqual(t, ok, c.minOK)
+				require.LessOrEqual(t, ok, c.maxOK)
+			})
+		})
+	}
+}
