--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -17,8 +17,6 @@
 	// attempt must be expected to be answered. A fifth of the requests take three times as long
 	// as the others, and work has a coefficient of variation of up to 0.8.
 	objectiveShare = 0.75
-	// deadlineShare is the same for the deadline, for clients that return.
-	deadlineShare = 0.7
 	// targetRounds is the number of requests at a server, as a multiple of its slots, that
 	// keeps it busy. More make all of them late and serve no more. Requests that go later find
 	// a shorter target, so that those that go first find a queue in which they are in time.
@@ -38,7 +36,7 @@
 	keyShare = 0.25
 	// maxTracked bounds the servers and services whose demand is counted, and trackedFor is how
 	// long one without requests is kept.
-	maxTracked = 4096
+	maxTracked = 2048
 	trackedFor = 10 * time.Second
 )
 
@@ -202,17 +200,17 @@
 // client's before its deadline. It is not late while a slot is free: the server may be slow only
 // for a moment, and no other request waits for the slot.
 func isLate(r Request, t Target, completion time.Duration) bool {
-	if float64(completion) > deadlineShare*float64(r.DeadlineLeft) {
-		return true
-	}
-	if r.IsReturn || t.Queue < float64(t.Slots) {
+	if t.Queue < float64(t.Slots) {
 		return false
 	}
+	if r.IsReturn {
+		return completion > r.DeadlineLeft
+	}
 	margin := 1 - objectiveShare
 	if t.isStale() {
 		margin *= 2
 	}
-	return float64(completion) > (1-margin)*float64(r.ObjectiveLeft)
+	return float64(completion) > (1-margin)*float64(r.ObjectiveLeft) || completion > r.DeadlineLeft
 }
 
 func (t Target) isStale() bool { return t.Age > staleAge }
