--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -27,6 +27,12 @@
 
 // compare plays loads for five minutes to each of a small fleet and a large one.
 func compare(t *testing.T, interval time.Duration, check func(t *testing.T, o outcome), loads ...load) {
+	t.Helper()
+	comparePool(t, 1, 0, interval, check, loads...)
+}
+
+// comparePool does the same with a pool of servers, of which some are lost after 20 s.
+func comparePool(t *testing.T, servers, lost int, interval time.Duration, check func(t *testing.T, o outcome), loads ...load) {
 	t.Helper()
 	for name, instances := range map[string]int{"3 instances": 3, "143 instances": 143} {
 		t.Run(name, func(t *testing.T) {
@@ -34,7 +40,11 @@
 			sums := [2]map[string]*result{{}, {}}
 			for i := range sums {
 				for seed := range 5 {
-					for name, r := range newSimulation(uint64(seed), i == 0, instances, interval).run(time.Minute, append([]load{}, loads...)...) {
+					s := newSimulation(uint64(seed), i == 0, instances, servers, interval)
+					for n := range lost {
+						s.after(20*time.Second, func() { s.lose(n) })
+					}
+					for name, r := range s.run(time.Minute, append([]load{}, loads...)...) {
 						if sums[i][name] == nil {
 							sums[i][name] = &result{}
 						}
@@ -121,6 +131,23 @@
 	}, lookups("all", 0.7), lookups("burst", 0.7*2.6/0.75-0.7).with(func(l *load) { l.from, l.to = 20*time.Second, 22*time.Second }))
 }
 
+// Guards against requests to a pool that are refused while other servers are free.
+func TestCalmPoolTakesAll(t *testing.T) {
+	comparePool(t, 8, 0, 200*ms, func(t *testing.T, o outcome) {
+		require.Greater(t, o.on["all"].served(), 0.99)
+		require.Greater(t, o.on["all"].value(), o.off["all"].value()-0.01)
+	}, lookups("all", 8*0.75))
+}
+
+// Guards against a burst of 2.6 times, while a quarter of the servers of a pool is lost, that all
+// clients pay for.
+func TestPoolServesThroughABurstAndALoss(t *testing.T) {
+	comparePool(t, 8, 2, 200*ms, func(t *testing.T, o outcome) {
+		require.Greater(t, o.on["all"].value(), o.off["all"].value())
+		require.Greater(t, o.on["burst"].value(), o.off["burst"].value())
+	}, lookups("all", 8*0.6), lookups("burst", 8*0.6*1.6).with(func(l *load) { l.from, l.to = 20*time.Second, 25*time.Second }))
+}
+
 // Guards against decisions from reports that are 1.2 to 2.4 s old as if they were new.
 func TestStaleReports(t *testing.T) {
 	compare(t, 1200*ms, func(t *testing.T, o outcome) {
--- a/internal/traffic/admission/simulation_test.go
+++ b/internal/traffic/admission/simulation_test.go
@@ -50,38 +50,47 @@
 func (r result) value() float64  { return (r.inTime + 0.4*r.late - 0.3*r.again) / r.clients }
 func (r result) prompt() float64 { return r.inTime / r.clients }
 
-// simulation plays loads against the slots of one server in simulated time. Each instance knows
-// its own requests, and those of the others as they were one to two report intervals before.
+// simulation plays loads in simulated time against one server, the owner of all keys, or a pool of
+// servers. Each instance knows its own requests, and those of the others as they were one to two
+// report intervals before.
 type simulation struct {
 	now    time.Time
 	events eventQueue
 	random *rand.Rand
-	// paces is a source of its own, so that the server is slow at the same times in each run.
+	// paces is a source of its own, so that servers are slow at the same times in each run.
 	paces         *rand.Rand
-	slots         int
 	instances     int
 	interval      time.Duration
 	isOn          bool
-	counter       demandCounter
-	running       int
-	waiting       []*client
-	slowUntil     time.Time
+	servers       []simulatedServer
 	meanExecution time.Duration
 	// ends is the time at which the arrivals end, and start that at which they begin.
 	start, ends time.Time
 	knowledge   []known
 	results     map[string]*result
-	// busy is the time for which slots worked.
-	busy time.Duration
+}
+
+const slots = 6
+
+type simulatedServer struct {
+	counter   demandCounter
+	running   int
+	waiting   []*client
+	slowUntil time.Time
+	isLost    bool
 }
 
 type known struct {
+	servers    []knownServer
+	controller admission.Controller
+}
+
+type knownServer struct {
 	own, reported, pending int
 	reportedAt, pendingAt  time.Time
 	// counter counts the demand at the instance. The demands are those of the other instances.
 	counter                       demandCounter
 	reportedDemand, pendingDemand float64
-	controller                    admission.Controller
 }
 
 // demandCounter counts the slots that are wanted, with a half-life of a second.
@@ -103,6 +112,7 @@
 	began    time.Time
 	refusals int
 	instance int
+	server   int
 }
 
 const (
@@ -111,13 +121,16 @@
 	meanPace = 1.4
 )
 
-func newSimulation(seed uint64, isOn bool, instances int, interval time.Duration) *simulation {
+func newSimulation(seed uint64, isOn bool, instances, servers int, interval time.Duration) *simulation {
 	start := time.Unix(1e9, 0)
-	s := &simulation{now: start, start: start, random: rand.New(rand.NewPCG(seed, 1)), paces: rand.New(rand.NewPCG(seed, 2)), slots: 6, instances: instances, interval: interval, isOn: isOn, knowledge: make([]known, instances), results: map[string]*result{}}
+	s := &simulation{now: start, start: start, random: rand.New(rand.NewPCG(seed, 1)), paces: rand.New(rand.NewPCG(seed, 2)), instances: instances, interval: interval, isOn: isOn, knowledge: make([]known, instances), servers: make([]simulatedServer, servers), results: map[string]*result{}}
 	for i := range s.knowledge {
+		s.knowledge[i].servers = make([]knownServer, servers)
 		s.after(time.Duration(s.random.Float64()*float64(interval)), func() { s.exchange(i) })
 	}
-	s.after(0, s.changePace)
+	for i := range s.servers {
+		s.after(0, func() { s.changePace(&s.servers[i]) })
+	}
 	return s
 }
 
@@ -160,23 +173,47 @@
 
 func (s *simulation) try(c *client) {
 	c.instance = s.random.IntN(s.instances)
-	k := &s.knowledge[c.instance]
-	isAdmitted, retryAfter := s.decide(c, k)
-	if isAdmitted && len(s.waiting) >= maxWaiting {
+	c.server = s.choose(&s.knowledge[c.instance])
+	v := &s.servers[c.server]
+	isAdmitted, retryAfter := s.decide(c, &s.knowledge[c.instance])
+	if isAdmitted && (len(v.waiting) >= maxWaiting || v.isLost) {
 		isAdmitted, retryAfter = false, c.load.execution/2
 	}
 	if !isAdmitted {
 		s.refuse(c, retryAfter)
 		return
 	}
-	k.own++
-	if s.running < s.slots {
+	s.knowledge[c.instance].servers[c.server].own++
+	if v.running < slots {
 		s.begin(c)
 	} else {
-		s.waiting = append(s.waiting, c)
+		v.waiting = append(v.waiting, c)
 	}
 }
 
+// choose returns the server with the shortest queue of three at random, without those whose loss
+// is known.
+func (s *simulation) choose(k *known) int {
+	best := 0
+	for n, i := range s.random.Perm(len(s.servers)) {
+		if n == 0 || s.servers[best].isLost || !s.servers[i].isLost && n < 3 && k.servers[i].own+k.servers[i].reported < k.servers[best].own+k.servers[best].reported {
+			best = i
+		}
+	}
+	return best
+}
+
+// lose ends a server with all of its requests.
+func (s *simulation) lose(n int) {
+	v := &s.servers[n]
+	v.isLost = true
+	for _, c := range v.waiting {
+		s.knowledge[c.instance].servers[n].own--
+		s.results[c.load.name].refused++
+	}
+	v.waiting = nil
+}
+
 func (s *simulation) refuse(c *client, retryAfter time.Duration) {
 	r := s.results[c.load.name]
 	if c.refusals++; c.refusals > 1 {
@@ -196,24 +233,25 @@
 }
 
 func (s *simulation) begin(c *client) {
-	s.running++
+	v := &s.servers[c.server]
+	v.running++
 	const variation = 0.65
 	sigma := math.Sqrt(math.Log(1 + variation*variation))
 	took := float64(c.load.execution) * math.Exp(s.random.NormFloat64()*sigma-sigma*sigma/2)
-	if s.now.Before(s.slowUntil) {
+	if s.now.Before(v.slowUntil) {
 		took *= 3
 	}
-	if s.now.Before(s.ends) {
-		s.busy += time.Duration(took)
-	}
 	s.after(time.Duration(took), func() { s.end(c) })
 }
 
 func (s *simulation) end(c *client) {
-	s.running--
-	s.knowledge[c.instance].own--
+	v := &s.servers[c.server]
+	v.running--
+	s.knowledge[c.instance].servers[c.server].own--
 	r := s.results[c.load.name]
 	switch took := s.now.Sub(c.began); {
+	case v.isLost:
+		r.refused++
 	case took <= c.load.objective:
 		r.inTime++
 	case took <= c.load.patience:
@@ -221,21 +259,21 @@
 	default:
 		r.refused++
 	}
-	if len(s.waiting) > 0 {
-		next := s.waiting[0]
-		s.waiting = s.waiting[1:]
+	if len(v.waiting) > 0 {
+		next := v.waiting[0]
+		v.waiting = v.waiting[1:]
 		s.begin(next)
 	}
 }
 
 func (s *simulation) decide(c *client, k *known) (isAdmitted bool, retryAfter time.Duration) {
-	l := c.load
-	reported, reportedDemand := k.reported, k.reportedDemand
-	if s.now.Sub(k.reportedAt) > 1500*time.Millisecond {
+	l, v := c.load, &k.servers[c.server]
+	reported, reportedDemand := v.reported, v.reportedDemand
+	if s.now.Sub(v.reportedAt) > 1500*time.Millisecond {
 		reported, reportedDemand = 0, 0 // no report is used for longer
 	}
-	queue := float64(k.own + reported)
-	rounds := max(1, (queue+1)/float64(s.slots))
+	queue := float64(v.own + reported)
+	rounds := max(1, (queue+1)/float64(slots))
 	completion := time.Duration(float64(l.execution) * meanPace * rounds)
 	elapsed := s.now.Sub(c.began)
 	if elapsed < time.Duration(0.15*float64(l.patience)) {
@@ -247,19 +285,22 @@
 		if key < 0 {
 			key = 1000 + s.random.IntN(1000)
 		}
-		demand := reportedDemand + k.counter.at(s.now)
-		s.counter.add(s.now, l.execution.Seconds()*meanPace)
-		k.counter.add(s.now, l.execution.Seconds()*meanPace)
+		demand := reportedDemand + v.counter.at(s.now)
+		s.servers[c.server].counter.add(s.now, l.execution.Seconds()*meanPace)
+		v.counter.add(s.now, l.execution.Seconds()*meanPace)
 		d := k.controller.Decide(s.now, admission.Request{
-			Priority: l.priority, Key: key, HasKey: true, IsReturn: elapsed > 0, Execution: l.execution,
+			Priority: l.priority, Key: key, HasKey: len(s.servers) == 1, IsReturn: elapsed > 0, Execution: l.execution,
 			ObjectiveLeft: l.objective - elapsed, DeadlineLeft: deadlineLeft, ReturnLeft: deadlineLeft,
-		}, admission.Target{Name: "s", Service: "s", Demand: demand, Slots: s.slots, Queue: queue, Execution: s.meanExecution, Pace: meanPace, Age: s.now.Sub(k.reportedAt), Instances: s.instances}, s.random.Float64)
+		}, admission.Target{
+			Name: fmt.Sprint(c.server), Service: "s", Demand: demand, Slots: slots, Queue: queue, Execution: s.meanExecution, Pace: meanPace,
+			Age: s.now.Sub(v.reportedAt), IsPooled: len(s.servers) > 1, Instances: s.instances,
+		}, s.random.Float64)
 		return d.IsAdmitted(), d.RetryAfter
 	}
 	// The decisions without the feature, as in dispatch.
-	isFull := queue >= 3*float64(s.slots)
+	isFull := queue >= 3*float64(slots)
 	isLate := time.Duration(0.7*float64(completion)) > deadlineLeft || elapsed == 0 && completion > l.objective+l.execution/2
-	if queue < float64(s.slots) || !isFull && !isLate {
+	if queue < float64(slots) || !isFull && !isLate {
 		return true, 0
 	}
 	retryAfter = max(min(completion-l.objective/2, time.Duration(0.3*float64(deadlineLeft))), 60*time.Millisecond)
@@ -268,20 +309,22 @@
 
 // exchange lets an instance receive what the others sent one interval ago.
 func (s *simulation) exchange(i int) {
-	k := &s.knowledge[i]
-	k.reported, k.reportedAt = k.pending, k.pendingAt
-	k.reportedDemand, k.pendingDemand = k.pendingDemand, s.counter.at(s.now)-k.counter.at(s.now)
-	k.pending, k.pendingAt = s.running+len(s.waiting)-k.own, s.now
+	for n := range s.servers {
+		k, v := &s.knowledge[i].servers[n], &s.servers[n]
+		k.reported, k.reportedAt = k.pending, k.pendingAt
+		k.reportedDemand, k.pendingDemand = k.pendingDemand, v.counter.at(s.now)-k.counter.at(s.now)
+		k.pending, k.pendingAt = v.running+len(v.waiting)-k.own, s.now
+	}
 	if s.now.Before(s.ends) {
 		s.after(s.interval, func() { s.exchange(i) })
 	}
 }
 
-func (s *simulation) changePace() {
+func (s *simulation) changePace(v *simulatedServer) {
 	slow := time.Duration(s.paces.ExpFloat64() * float64(400*time.Millisecond))
-	s.slowUntil = s.now.Add(slow)
+	v.slowUntil = s.now.Add(slow)
 	if s.now.Before(s.ends) || s.ends.IsZero() {
-		s.after(slow+time.Duration(s.paces.ExpFloat64()*float64(1600*time.Millisecond)), s.changePace)
+		s.after(slow+time.Duration(s.paces.ExpFloat64()*float64(1600*time.Millisecond)), func() { s.changePace(v) })
 	}
 }
 
