--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -46,6 +46,8 @@
 	Name    string
 	Service string
 	Slots   int
+	// MaxBusy is the number of slots that the request rate of a cold server keeps busy, or zero.
+	MaxBusy float64
 	// Queue is the number of requests there, running or waiting.
 	Queue float64
 	// Execution is the mean execution time of all requests there, and Pace the execution time
@@ -95,14 +97,14 @@
 	CauseShare Cause = "share"
 	// CauseKey is the same for a request beyond the share of its key.
 	CauseKey Cause = "key"
-	// CauseFull means that the queues are at their bounds.
+	// CauseFull means that queues or connections are at their bounds, or that the server is cold.
 	CauseFull Cause = "full"
 )
 
 // Decision is the result of a decision and its inputs.
 type Decision struct {
 	Cause Cause
-	// RetryAfter is when the client should return if it is refused.
+	// RetryAfter is when the client should return if it is refused, also for another reason.
 	RetryAfter time.Duration
 	// Share is the share of such requests that is admitted.
 	Share float64
@@ -134,7 +136,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	target, service := c.targets.find(now, t.Name), c.services.find(now, t.Service)
-	capacity := float64(max(t.Slots, 1))
+	capacity := t.capacity()
 	work := r.Execution.Seconds() * max(t.Pace, minPace)
 	total := t.Demand
 	if t.isStale() {
@@ -144,7 +146,7 @@
 	d := divide(total, target, service, rank)
 	decision := Decision{Room: room(t, rank, capacity), Demand: d.own, Before: d.before, Completion: completion(r, t), IsStale: t.isStale()}
 	decision.Share = min(max((decision.Room-d.before)/max(d.own, minDemand), 0), 1)
-	if t.IsPooled && t.Queue < capacity {
+	if t.IsPooled && t.Queue < float64(t.Slots) {
 		decision.Share = 1
 	}
 	switch {
@@ -156,9 +158,7 @@
 	default:
 		decision.Cause = CauseShare
 	}
-	if !decision.IsAdmitted() {
-		decision.RetryAfter = returnAfter(r, t, d, capacity, random)
-	}
+	decision.RetryAfter = returnAfter(r, t, d, capacity, random)
 	if !r.IsCounted {
 		target.add(rank, work)
 		service.add(rank, work)
@@ -213,6 +213,15 @@
 	return float64(completion) > (1-margin)*float64(r.ObjectiveLeft) || completion > r.DeadlineLeft
 }
 
+// capacity returns the number of slots that requests may keep busy.
+func (t Target) capacity() float64 {
+	capacity := float64(max(t.Slots, 1))
+	if t.MaxBusy > 0 {
+		return min(capacity, t.MaxBusy)
+	}
+	return capacity
+}
+
 func (t Target) isStale() bool { return t.Age > staleAge }
 
 // room returns the slots that the target has for new requests: its capacity, more while its
--- a/internal/traffic/admission/admission_test.go
+++ b/internal/traffic/admission/admission_test.go
@@ -164,6 +164,20 @@
 	require.Equal(t, admission.CauseLate, decide(100*ms, 500*ms))
 }
 
+// Guards against a cold server that counts with all of its slots: what it cannot take is told to
+// return at once, and is refused again.
+func TestColdServerTakesLess(t *testing.T) {
+	decide := func(maxBusy float64) admission.Decision {
+		c := admission.Controller{}
+		return c.Decide(time.Unix(0, 0), admission.Request{Execution: 200 * ms, ObjectiveLeft: 800 * ms, DeadlineLeft: 2 * time.Second, ReturnLeft: 2 * time.Second},
+			admission.Target{Name: "s", Service: "s", Slots: 4, MaxBusy: maxBusy, Queue: 1, Execution: 200 * ms, Pace: 1, Demand: 4, Instances: 3}, func() float64 { return 0.5 })
+	}
+	require.Equal(t, admission.CauseNone, decide(0).Cause)
+	cold := decide(1)
+	require.Equal(t, admission.CauseShare, cold.Cause)
+	require.Greater(t, cold.RetryAfter, 2*time.Second, "it has no room before the client leaves")
+}
+
 // BenchmarkDecide decides for 258 servers and 100,000 keys of an instance among 143.
 func BenchmarkDecide(b *testing.B) {
 	c := admission.Controller{}
--- a/internal/traffic/admission/demand.go
+++ b/internal/traffic/admission/demand.go
@@ -88,9 +88,12 @@
 func divide(total float64, target, service *mix, c class) demand {
 	d := demand{total: total}
 	for i := range target.work {
-		prior := 1.0 / classes
-		if service.sum > 0 {
+		prior := 0.0
+		switch {
+		case service.sum > 0:
 			prior = service.work[i] / service.sum
+		case class(i) == c:
+			prior = 1 // no other class is known
 		}
 		slots := total * (target.work[i] + mixPrior*prior) / (target.sum + mixPrior)
 		switch {
--- a/internal/traffic/dispatch/admission.go
+++ b/internal/traffic/dispatch/admission.go
@@ -38,6 +38,10 @@
 	if len(s.Peers) <= 1 {
 		c.knownFor = 0
 	}
+	maxBusy := 0.0
+	if d.isWarmingUp(c.server, now) {
+		maxBusy = s.Config.Services[j.service].WarmupRate * pace * meanExecution.Seconds()
+	}
 	if !j.isDemandCounted {
 		d.Estimator.CountDemand(now, c.server.ID, time.Duration(pace*float64(execution)))
 	}
@@ -45,10 +49,11 @@
 		Priority: j.route.Priority, Key: j.meta.Key, HasKey: j.isKeyed(), IsReturn: j.isClientRetry, Execution: execution,
 		ObjectiveLeft: j.latencyTarget.Sub(now), DeadlineLeft: j.deadline.Sub(now), ReturnLeft: returnLeft(j, now), IsCounted: j.isDemandCounted,
 	}, admission.Target{
-		Name: c.server.ID, Service: j.service, Slots: c.server.Slots, Queue: c.estimate.QueueLength, Execution: meanExecution, Pace: pace,
+		Name: c.server.ID, Service: j.service, Slots: c.server.Slots, MaxBusy: maxBusy, Queue: c.estimate.QueueLength, Execution: meanExecution, Pace: pace,
 		Demand: c.estimate.Demand, Age: c.knownFor, IsPooled: !j.isKeyed(), Instances: len(s.Peers),
 	}, d.Random)
 	j.isDemandCounted = true
+	c.isDecided = true
 	if decision.IsStale {
 		d.Counter.Count("admission.stale")
 	}
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -71,8 +71,9 @@
 	viewAge       int64
 	// decision is that on admission, if there was one, and knownFor the age of the reports that
 	// it was based on.
-	decision admission.Decision
-	knownFor time.Duration
+	decision  admission.Decision
+	isDecided bool
+	knownFor  time.Duration
 }
 
 // hasCapacity reports whether the server's queue has room for the request and a
--- a/internal/traffic/dispatch/owner.go
+++ b/internal/traffic/dispatch/owner.go
@@ -8,6 +8,7 @@
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/admission"
 )
 
 // chooseOwner selects the owner of the key. While the key is being reassigned it
@@ -75,6 +76,10 @@
 	}
 	isFull := !c.hasConnection || c.estimate.QueueLength >= ownerQueuePerSlot*float64(c.server.Slots)
 	if isFull || isOwnerLost(c) || !d.takeWarmupCapacity(s, c.server, now) {
+		if c.isDecided {
+			c.decision.Cause = admission.CauseFull
+			return nil, d.rejectByValue(j, c)
+		}
 		return nil, rejection{ReasonOverload, d.overloadRetryAfter(j, c.estimate.Completion, now), c}
 	}
 	return c, rejection{}
--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -50,7 +50,7 @@
 		// The queues of all servers are at their bounds.
 		fastest.decision = d.decide(s, j, fastest, now)
 		if fastest.decision.IsAdmitted() {
-			fastest.decision.Cause, fastest.decision.RetryAfter = admission.CauseFull, max(fastest.estimate.Completion/2, d.notExecutedRetryAfter(j))
+			fastest.decision.Cause = admission.CauseFull
 		}
 		return nil, d.rejectByValue(j, fastest)
 	case best == nil:
