--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/access/accounts"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/entry/callers"
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
@@ -191,6 +192,8 @@
 		DrainTimeout:    bounds.DrainTimeout / 2,
 		EvacuateTimeout: bounds.EvacuationTimeout / 2,
 		StopAt:          g.stopTime,
+		Accounts:        accounts.Policy{StrictRevocation: bounds.StrictRevocation, RevocationTimeout: bounds.RevocationTimeout},
+		Clock:           boottime.Now,
 		Random:          rand.Float64,
 	})
 }
@@ -199,7 +202,12 @@
 type capacityEstimator struct{ *Gateway }
 
 // KeyRates returns the rate of each key in requests per second.
-func (c capacityEstimator) KeyRates(service string) []float32 { return c.metrics.KeyRates(service) }
+func (c capacityEstimator) KeyRates(service string) []float32 {
+	if c.features().EvenLoad {
+		return c.metrics.VolatileKeyRates(service)
+	}
+	return c.metrics.KeyRates(service)
+}
 
 // Capacity returns the requests per second that a server can handle, from its slots
 // and its measured speed.
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -59,6 +59,7 @@
 	if i.usesAdmission {
 		text += platformtest.AdmissionSettings
 	}
+	text += revocationSettings
 	if i.starts == 0 {
 		text += platformtest.FirstStartSettings
 	}
--- a/internal/traffic/dispatch/admission.go
+++ b/internal/traffic/dispatch/admission.go
@@ -46,7 +46,7 @@
 		d.Estimator.CountDemand(now, c.server.ID, time.Duration(pace*float64(execution)))
 	}
 	decision := d.admission.Decide(now, admission.Request{
-		Priority: j.route.Priority, Key: j.meta.Key, HasKey: j.isKeyed(), IsReturn: j.isClientRetry, Execution: execution,
+		Priority: j.priority, Key: j.meta.Key, HasKey: j.isKeyed(), IsReturn: j.isClientRetry, Execution: execution,
 		ObjectiveLeft: j.latencyTarget.Sub(now), DeadlineLeft: j.deadline.Sub(now), ReturnLeft: returnLeft(j, now), IsCounted: j.isDemandCounted,
 	}, admission.Target{
 		Name: c.server.ID, Service: j.service, Slots: c.server.Slots, MaxBusy: maxBusy, Queue: c.estimate.QueueLength, Execution: meanExecution, Pace: pace,
