--- a/internal/traffic/dispatch/admission_test.go
+++ b/internal/traffic/dispatch/admission_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/redwingstall/redwingstall/internal/access/accounts"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/node/features"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
@@ -63,3 +64,24 @@
 		})
 	}
 }
+
+// Guards against an account's priority that admission does not follow. Each account's requests want
+// the whole server.
+func TestAdmissionFollowsThePriorityOfTheAccount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAccountFixture(accounts.Policy{})
+		f.dispatcher.Features = func() features.Set { return features.Set{Admission: true} }
+		ok := map[string]int{}
+		for n := range 400 {
+			f.dispatcher.Estimator.MergeReports(time.Now(), "peer", []placement.Report{{Server: "k1", InFlight: 8, LatencyFactor: 1, Demand: 8}})
+			f.view.Confirm(f.clock())
+			account := []string{"oak", "elm"}[n%2]
+			if f.get(t.Context(), "/keyed/x", "Shard-Key", strconv.Itoa(n%1000), "Authorization", "Bearer "+account+"-key").Status == 200 {
+				ok[account]++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.Greater(t, ok["oak"], 150, "of 200, priority 0")
+		require.Less(t, ok["elm"], 50, "priority 3")
+	})
+}
