--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -16,7 +16,7 @@
 	// objectiveShare is the part of the time left before the objective within which a first
 	// attempt must be expected to be answered. A fifth of the requests take three times as long
 	// as the others, and work has a coefficient of variation of up to 0.8.
-	objectiveShare = 0.75
+	objectiveShare = 0.85
 	// targetRounds is the number of requests at a server, as a multiple of its slots, that
 	// keeps it busy. More make all of them late and serve no more. Requests that go later find
 	// a shorter target, so that those that go first find a queue in which they are in time.
