Ask the process at a replaced owner's address for its ID

Servers answer an order that is meant for another one with 421 and no ID, so that the former proof never applied. The health check names the process that answers.

--- a/gateway.go
+++ b/gateway.go
@@ -232,6 +232,8 @@
 // beside an error.
 type KeyOwner interface {
 	Grant(ctx context.Context, server, address string, grant KeyGrant) (ResponseMeta, error)
+	// Identify returns the ID of the server process that answers at an address.
+	Identify(ctx context.Context, address, healthPath string) (string, error)
 	// Release returns the handover data after all requests on the keys have ended.
 	Release(ctx context.Context, server, address string, keys KeyRange, fence int64) (handover string, meta ResponseMeta, err error)
 }
@@ -263,9 +265,7 @@
 
 // ResponseMeta is the information in a response's headers for the router.
 type ResponseMeta struct {
-	ID string
-	// Instance is the ID of the server process that answered, if it says so.
-	Instance    string
+	ID          string
 	IsSigned    bool
 	NotExecuted bool
 	Load        ServerLoad
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -114,7 +114,8 @@
 	startedAt time.Duration
 	// history is what this instance has observed of the store and the servers. Only the
 	// goroutine of Run uses it.
-	history history
+	history  history
+	replaced replacedServers
 	// suspended is the last term, if it ended with the era while the lease was valid.
 	suspended *suspendedTerm
 
@@ -592,11 +593,10 @@
 	result.IsFenced = errors.Is(err, redwingstall.ErrFenced)
 	result.IsUnanswered = err != nil && !result.IsFenced
 	result.IsUnsent = errors.Is(err, redwingstall.ErrNotSent)
-	result.IsReplaced = isOtherServer && command.Kind == assign.CommandRelease && l.features().KeyRecovery &&
-		isReplaced(l.View.Snapshot(), command, meta.Instance)
+	result.IsReplaced = isOtherServer && command.Kind == assign.CommandRelease && l.features().KeyRecovery && l.isReplaced(ctx, command)
 	if err != nil || command.Kind == assign.CommandRelease {
 		l.Log.Info("order", "kind", command.Kind, "service", name, "server", command.Owner.ID, "from", command.Keys.From, "to", command.Keys.To,
-			"fence", command.Fence, "handover", result.Handover != "", "answeredBy", meta.Instance, "isReplaced", result.IsReplaced, "error", errorText(err))
+			"fence", command.Fence, "handover", result.Handover != "", "isReplaced", result.IsReplaced, "error", errorText(err))
 	}
 	return result
 }
