--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,8 @@
 	$(GO) test ./pkg/settings -fuzz FuzzParse -fuzztime 60s
 	$(GO) test ./pkg/caller -fuzz FuzzSplitPath -fuzztime 60s
 	$(GO) test ./pkg/caller -fuzz FuzzParseContentRange -fuzztime 60s
+	$(GO) test ./platform -fuzz FuzzCredential -fuzztime 60s
+	$(GO) test ./platform -fuzz FuzzDecodeConfiguration -fuzztime 60s
 
 generate:
 	buf generate
--- a/internal/fleet/follow/confirmation.go
+++ b/internal/fleet/follow/confirmation.go
@@ -61,7 +61,7 @@
 
 // senderRepairInterval is the time between two requests for a repair by an instance that the store
 // does not answer. Each may be lost, or its response.
-const senderRepairInterval = 300 * time.Millisecond
+const senderRepairInterval = heartbeatInterval
 
 // SenderRelay is a relay that can ask the sender of the last update for the changes after a
 // position. Unlike the instances of RequestRepair it has the store's answers.
