Test removed keys with processes that are stopped or cut off

An instance is stopped, a key is removed, and after revoke_ms requests with it wait in the buffers of the process until it goes on: none may run. Another one reaches neither the store nor other instances: known keys are served for 0.6 of revoke_ms, and refused with 503 at its end; anonymous requests are served.

--- /dev/null
+++ b/internal/soak/revocation.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/redwingstall/redwingstall/platform/platformtest"
+)
+
+const (
+	// heldRequests is the number of requests that wait in the buffers of a process while it is
+	// stopped.
+	heldRequests = 20
+	// owedService is how long after the loss of the store requests with a key are owed service.
+	owedService = revocationBound * 6 / 10
+	// checkInterval is the time between two requests of a check.
+	checkInterval = 100 * time.Millisecond
+)
+
+// RunRevocation removes an API key while one instance is stopped and another one reaches neither
+// the store nor other instances, and returns the violations. It needs two instances.
+func RunRevocation(config Config) ([]string, error) {
+	s := newSoak(config)
+	defer s.close()
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	time.Sleep(startupDelay)
+	s.checkServed(time.Second)
+	s.removeKeyWhileStopped()
+	s.awaitServed(0, 2*time.Second)
+	s.awaitServed(1, 2*time.Second)
+	s.removeKeyWhileCutOff()
+	s.printf("responses by status %v", s.statuses)
+	return s.ledger.Violations(), nil
+}
+
+// checkServed checks in calm operation that known keys are served and unknown ones rejected.
+func (s *Soak) checkServed(duration time.Duration) {
+	for n, end := 0, time.Now().Add(duration); time.Now().Before(end); n++ {
+		for i := range s.instances {
+			s.expectStatus(i, fmt.Sprintf("calm-%d-%d", i, n), lastingKey, http.StatusOK)
+			s.expectStatus(i, fmt.Sprintf("calm-unknown-%d-%d", i, n), unknownKey, http.StatusUnauthorized)
+		}
+		time.Sleep(checkInterval)
+	}
+}
+
+func (s *Soak) expectStatus(instance int, id, key string, expected int) {
+	if status := s.client(instance).sendWithKey(context.Background(), id, key); status != expected {
+		s.ledger.RecordViolation("request %s got %d, expected %d", id, status, expected)
+	}
+}
+
+// removeKeyWhileStopped sends requests with a key that was removed while the process was stopped.
+// It gets them when it goes on, together with what the others had sent it before.
+func (s *Soak) removeKeyWhileStopped() {
+	stopped := s.instances[1]
+	newest, _ := s.newestKeys()
+	stopped.signal(syscall.SIGSTOP)
+	s.configure(0)
+	s.configure(0)
+	time.Sleep(revocationBound + checkInterval)
+	requests := sync.WaitGroup{}
+	for n := range heldRequests {
+		requests.Go(func() { s.expectRefused(1, fmt.Sprintf("held-%d", n), newest.key) })
+	}
+	time.Sleep(2 * checkInterval)
+	s.ledger.AllowLateGrants(delayedGrantWindow)
+	stopped.signal(syscall.SIGCONT)
+	requests.Wait()
+}
+
+// expectRefused sends a request with a removed key.
+func (s *Soak) expectRefused(instance int, id, key string) {
+	status := s.client(instance).sendWithKey(context.Background(), id, key)
+	if status != http.StatusServiceUnavailable && status != http.StatusUnauthorized || s.ledger.RunCount(id) > 0 {
+		s.ledger.RecordViolation("request %s with a removed key got %d and ran %d times", id, status, s.ledger.RunCount(id))
+	}
+}
+
+// awaitServed waits until an instance serves requests with a key.
+func (s *Soak) awaitServed(instance int, atMost time.Duration) {
+	for n, end := 0, time.Now().Add(atMost); time.Now().Before(end); n++ {
+		if s.client(instance).sendWithKey(context.Background(), fmt.Sprintf("again-%d-%d", instance, n), lastingKey) == http.StatusOK {
+			return
+		}
+		time.Sleep(checkInterval)
+	}
+	s.ledger.RecordViolation("%s does not serve requests with a key again", s.instances[instance].name)
+}
+
+// removeKeyWhileCutOff checks that an instance without the store and the others serves requests
+// with a key as long as they are owed service, and none with a key that was removed meanwhile.
+func (s *Soak) removeKeyWhileCutOff() {
+	newest, _ := s.newestKeys()
+	s.instances[1].signal(syscall.SIGSTOP)
+	s.instances[0].store.set(true, false, 0)
+	cutAt := time.Now()
+	s.configure(0)
+	s.configure(0)
+	for n := 0; time.Since(cutAt) < owedService; n++ {
+		s.expectStatus(0, fmt.Sprintf("owed-%d", n), lastingKey, http.StatusOK)
+		time.Sleep(checkInterval)
+	}
+	time.Sleep(time.Until(cutAt.Add(revocationBound + checkInterval)))
+	s.expectRefused(0, "cut", newest.key)
+	s.expectStatus(0, "cut-known", lastingKey, http.StatusServiceUnavailable)
+	s.expectStatus(0, "cut-unknown", unknownKey, http.StatusServiceUnavailable)
+	request, err := http.NewRequest(http.MethodGet, "http://"+s.instances[0].frontAddress()+fmt.Sprintf("/version%d/x", s.versionInForce()), strings.NewReader(""))
+	if err != nil {
+		s.ledger.RecordViolation("request could not be created: %v", err)
+		return
+	}
+	request.Host = "h"
+	platformtest.SetRequest(request.Header, "cut-anonymous", clientTimeout, noKey)
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil || answer.StatusCode != http.StatusOK {
+		s.ledger.RecordViolation("anonymous request without the store failed: %v", err)
+		return
+	}
+	_ = answer.Body.Close()
+}
+
+// versionInForce returns the version before the last two, which an instance that was cut off before
+// them has.
+func (s *Soak) versionInForce() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version - 2
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -96,10 +96,7 @@
 
 // Run runs one seed and returns the violations.
 func Run(config Config) ([]string, error) {
-	s := &Soak{
-		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)),
-		store: platformtest.NewStore(), ledger: platformtest.NewLedger(), statuses: map[int]int{}, deadlyEnds: map[string]int{},
-	}
+	s := newSoak(config)
 	defer s.close()
 	if err := s.start(); err != nil {
 		return nil, err
@@ -143,6 +140,13 @@
 	return s.ledger.Violations(), nil
 }
 
+func newSoak(config Config) *Soak {
+	return &Soak{
+		config: config, random: rand.New(rand.NewPCG(config.Seed, 1)),
+		store: platformtest.NewStore(), ledger: platformtest.NewLedger(), statuses: map[int]int{}, deadlyEnds: map[string]int{},
+	}
+}
+
 func (s *Soak) printf(format string, arguments ...any) {
 	_, _ = fmt.Fprintf(s.config.Log, time.Now().Format("15:04:05.000 ")+format+"\n", arguments...)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,3 +71,14 @@
 	}
 	require.Empty(t, failed, "seeds with violations")
 }
+
+// Guards against a removed API key that works on at a process that was stopped or cut off, and
+// against refusals of known keys while service is owed.
+func TestRemovedKeyRunsNowhere(t *testing.T) {
+	violations, err := soak.RunRevocation(soak.Config{
+		Command: []string{os.Args[0]}, Folder: t.TempDir(), Instances: 2, Servers: 6,
+		Network: int(uintFromEnvironment("SOAK_NETWORK", 77)), Log: os.Stdout,
+	})
+	require.NoError(t, err)
+	require.Empty(t, violations)
+}
