Test removed keys at an instance that learns from others

Three instances: the one that is stopped does not watch the store itself.

Tests: go test ./internal/soak -run TestRemovedKeyRunsNowhere passes, 18 s

--- a/internal/soak/revocation.go
+++ b/internal/soak/revocation.go
@@ -22,8 +22,9 @@
 	checkInterval = 100 * time.Millisecond
 )
 
-// RunRevocation removes an API key while one instance is stopped and another one reaches neither
-// the store nor other instances, and returns the violations. It needs two instances.
+// RunRevocation removes an API key while one instance is stopped, and then while another one reaches
+// neither the store nor other instances, and returns the violations. It needs three instances: the
+// first two watch the store, and the last one learns from them.
 func RunRevocation(config Config) ([]string, error) {
 	s := newSoak(config)
 	defer s.close()
@@ -33,8 +34,9 @@
 	time.Sleep(startupDelay)
 	s.checkServed(time.Second)
 	s.removeKeyWhileStopped()
-	s.awaitServed(0, 2*time.Second)
-	s.awaitServed(1, 2*time.Second)
+	for i := range s.instances {
+		s.awaitServed(i, 2*time.Second)
+	}
 	s.removeKeyWhileCutOff()
 	s.printf("responses by status %v", s.statuses)
 	return s.ledger.Violations(), nil
@@ -60,7 +62,8 @@
 // removeKeyWhileStopped sends requests with a key that was removed while the process was stopped.
 // It gets them when it goes on, together with what the others had sent it before.
 func (s *Soak) removeKeyWhileStopped() {
-	stopped := s.instances[1]
+	last := len(s.instances) - 1
+	stopped := s.instances[last]
 	newest, _ := s.newestKeys()
 	stopped.signal(syscall.SIGSTOP)
 	s.configure(0)
@@ -68,7 +71,7 @@
 	time.Sleep(revocationBound + checkInterval)
 	requests := sync.WaitGroup{}
 	for n := range heldRequests {
-		requests.Go(func() { s.expectRefused(1, fmt.Sprintf("held-%d", n), newest.key) })
+		requests.Go(func() { s.expectRefused(last, fmt.Sprintf("held-%d", n), newest.key) })
 	}
 	time.Sleep(2 * checkInterval)
 	s.ledger.AllowLateGrants(delayedGrantWindow)
@@ -99,7 +102,9 @@
 // with a key as long as they are owed service, and none with a key that was removed meanwhile.
 func (s *Soak) removeKeyWhileCutOff() {
 	newest, _ := s.newestKeys()
-	s.instances[1].signal(syscall.SIGSTOP)
+	for _, i := range s.instances[1:] {
+		i.signal(syscall.SIGSTOP)
+	}
 	s.instances[0].store.set(true, false, 0)
 	cutAt := time.Now()
 	s.configure(0)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -76,7 +76,7 @@
 // against refusals of known keys while service is owed.
 func TestRemovedKeyRunsNowhere(t *testing.T) {
 	violations, err := soak.RunRevocation(soak.Config{
-		Command: []string{os.Args[0]}, Folder: t.TempDir(), Instances: 2, Servers: 6,
+		Command: []string{os.Args[0]}, Folder: t.TempDir(), Instances: 3, Servers: 6,
 		Network: int(uintFromEnvironment("SOAK_NETWORK", 77)), Log: os.Stdout,
 	})
 	require.NoError(t, err)
