Add quotas of client accounts: limiter and its exchange, not tested yet

Each instance charges its own requests at once and those of others from cumulative counts in the datagrams that instances exchange anyway.

--- a/gateway.go
+++ b/gateway.go
@@ -84,6 +84,22 @@
 	Routes   []Route
 	Services map[string]ServiceSpec
 	Limits   CallerLimits
+	// Accounts are the client accounts. HasAccounts is set if the configuration names any.
+	Accounts    []ClientAccount
+	HasAccounts bool
+}
+
+// ClientAccount is a client account with its API keys.
+type ClientAccount struct {
+	Name string
+	Keys []string
+	// Priority takes precedence over that of the route if HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// Rate is the limit in requests per second, and 0 means none. Burst is the number of
+	// requests that an idle account may send at once.
+	Rate  float64
+	Burst float64
 }
 
 // BackendEntry is a backend server's own entry in service discovery.
--- a/internal/fleet/peers/datagram.go
+++ b/internal/fleet/peers/datagram.go
@@ -12,6 +12,7 @@
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/quota"
 )
 
 // datagram is a message from one instance to others.
@@ -30,6 +31,8 @@
 	RepairAfter int64
 	// RepairEra is the era of that revision.
 	RepairEra int64
+	// usage of client accounts precedes the rest of the message, or is nil.
+	usage *quota.Usage
 }
 
 // loadTable encodes reports as rows of fixed length: the short id of the server in 32
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -19,6 +19,7 @@
 	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
+	"github.com/redwingstall/redwingstall/internal/traffic/quota"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
@@ -92,6 +93,12 @@
 	metAt                time.Time
 	quarantineComparedAt time.Time
 
+	// quotas are the limits of client accounts, if they are shared. The rest belongs to Run.
+	quotas       *quota.Limiter
+	vanished     map[string]time.Time
+	vanishedFrom *view.Snapshot
+	usageSentAt  time.Time
+
 	mu              sync.Mutex
 	topologyOf      *view.Snapshot
 	currentTopology *topology
@@ -158,6 +165,9 @@
 			e.broadcastQuarantine(now, t)
 			e.compareQuarantine(now, t)
 		}
+		if e.quotas != nil {
+			e.stepQuotas(now)
+		}
 		if t.hasSums {
 			e.sendToReporters(now, t)
 		} else {
@@ -213,9 +223,9 @@
 	if t.hasLeader && len(keys) > 0 && !t.receivesKeys(t.leader) {
 		e.send(datagram{From: e.self.Name, Keys: keys}, []view.Peer{t.leader})
 	}
-	reports := e.estimator.Reports(now)
-	if len(t.near) > 0 && len(reports)+len(keys) > 0 {
-		e.sendReports(datagram{From: e.self.Name, Keys: keys}, reports, maxLoadsPerDatagram, t.near)
+	reports, usage := e.estimator.Reports(now), e.ownUsage(now)
+	if len(t.near) > 0 && (len(reports)+len(keys) > 0 || usage != nil) {
+		e.sendReports(datagram{From: e.self.Name, Keys: keys, usage: usage}, reports, maxLoadsPerDatagram, t.near)
 	}
 }
 
@@ -230,14 +240,14 @@
 		e.domainKeys.add(keys)
 		keys = nil
 	}
-	reports := e.estimator.Reports(now)
+	reports, usage := e.estimator.Reports(now), e.ownUsage(now)
 	e.reportCount++
 	for i, reporter := range t.reporters {
-		message := datagram{From: e.self.Name}
+		message := datagram{From: e.self.Name, usage: usage}
 		if i == e.reportCount%len(t.reporters) {
 			message.Keys = keys
 		}
-		if len(reports)+len(message.Keys) > 0 {
+		if len(reports)+len(message.Keys) > 0 || usage != nil {
 			e.sendReports(message, reports, maxLoadsPerDatagram, []view.Peer{reporter})
 		}
 	}
@@ -253,6 +263,7 @@
 		message.Keys = keys
 	}
 	if len(t.counterparts) > 0 {
+		message.usage = e.usage(now, quota.ScopeDomain, maxSumUsageRows)
 		e.sendReports(message, e.estimator.DomainReports(now), maxSumsPerDatagram, t.counterparts)
 	}
 	if !t.hasSums {
@@ -261,7 +272,8 @@
 	if t.hasLeader && len(keys) > 0 {
 		e.send(datagram{From: e.self.Name, Domain: e.self.FailureDomain, Keys: keys}, []view.Peer{t.leader})
 	}
-	e.sendReports(datagram{From: e.self.Name, IsTotal: true}, sortedByShortID(e.estimator.TotalReports(now)), maxSumsPerDatagram, t.members)
+	total := datagram{From: e.self.Name, IsTotal: true, usage: e.usage(now, quota.ScopeTotal, maxSumUsageRows)}
+	e.sendReports(total, sortedByShortID(e.estimator.TotalReports(now)), maxSumsPerDatagram, t.members)
 }
 
 // sendReports splits reports into as many datagrams as needed. The first one carries
@@ -272,7 +284,7 @@
 		message.Loads = encodeReports(reports[:n])
 		e.send(message, peers)
 		reports = reports[n:]
-		message.Keys = nil
+		message.Keys, message.usage = nil, nil
 	}
 }
 
@@ -282,7 +294,7 @@
 		e.log.Error("datagram encoding failed", "error", err.Error())
 		return
 	}
-	e.writeDatagram(encoded, peers)
+	e.writeDatagram(prependUsage(message.usage, encoded), peers)
 }
 
 // writeDatagram sends a datagram to peers. Send errors are ignored, as losses are: the
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -34,7 +34,12 @@
 			continue
 		}
 		var message datagram
-		if err := cbor.Unmarshal(buffer[:n], &message); err != nil {
+		usage, rest, err := splitUsage(buffer[:n])
+		if err == nil {
+			err = cbor.Unmarshal(rest, &message)
+		}
+		message.usage = usage
+		if err != nil {
 			e.log.Warn("datagram decoding failed", "bytes", n, "error", err.Error())
 			continue
 		}
@@ -54,6 +59,13 @@
 	if message.Domain == "" || !isRelayed {
 		e.countKeys(now, t, message)
 	}
+	isForwarded := message.Domain != "" && t.isReporter && !t.hasSums && !isRelayed
+	if message.usage != nil && e.quotas != nil {
+		e.mergeUsage(now, t, message)
+	}
+	if isForwarded && (message.usage != nil || message.Loads.rows() > 0) {
+		e.writeDatagram(raw, t.near)
+	}
 	if message.Loads.rows() == 0 {
 		return
 	}
@@ -70,9 +82,6 @@
 		e.estimator.MergeReports(now, message.From, reports)
 	default:
 		e.estimator.MergeDomainReports(now, message.Domain, reports)
-		if t.isReporter && !t.hasSums && !isRelayed {
-			e.writeDatagram(raw, t.near)
-		}
 	}
 }
 
--- /dev/null
+++ b/internal/traffic/quota/account.go
@@ -0,0 +1,232 @@
+package quota
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/redwingstall/redwingstall"
+)
+
+const (
+	// reactionTime is how long it takes until other instances know of a request: two
+	// exchanges and the way between two failure domains.
+	reactionTime = 500 * time.Millisecond
+	// demandTime is the time constant of the demand by which instances share a limit.
+	demandTime = 3 * time.Second
+	// priorShare is the demand that each instance is taken to have beyond what it reports, as
+	// a part of the limit's equal share in demandTime.
+	priorShare = 0.2
+	// levelShare is the part of a positive level that all instances may spend within
+	// reactionTime. The rest makes up for what they do not know of each other.
+	levelShare = 0.5
+	// memoryTime is how long an instance with requests of an account keeps a token for the
+	// next one.
+	memoryTime = time.Minute
+	// minTokens is the least capacity of an instance's tokens: a request needs one.
+	minTokens = 1.0
+	// maxRetryAfter bounds what a refused client is told.
+	maxRetryAfter = 5 * time.Second
+	// minRetryAfter keeps refused clients from returning at once.
+	minRetryAfter = 100 * time.Millisecond
+	// slotsPerWindow is the resolution of the sum over the last window. The current part
+	// comes on top, so that the sum is never too small.
+	slotsPerWindow = 10
+)
+
+// account is the state of one account at this instance.
+type account struct {
+	id    uint32
+	name  string
+	label string
+	// rank orders the instances at random, from 0 to 1.
+	rank float64
+
+	mu          sync.Mutex
+	rate, burst float64
+	// level is the credit of all instances together as far as this one knows, which may be
+	// negative. at is the time up to which it and the demand are computed.
+	level float64
+	at    time.Time
+	// share is the part of the limit that level refers to.
+	share float64
+	// tokens are what this instance may spend before others know of it.
+	tokens float64
+	// counts are the admitted requests of this instance, of those that report to it and of
+	// the others; demand is the same for what was asked for, decaying with demandTime.
+	counts [origins]uint32
+	demand [origins]float64
+	// marks and nextMarks are the counts between one and two marking intervals ago, and at
+	// the last mark. reported is the own count of the last report.
+	marks, nextMarks [origins]uint32
+	reported         uint32
+	markedAt         time.Time
+	// spent are the known requests of the last window, by slot.
+	spent      [slotsPerWindow + 1]float64
+	spentSum   float64
+	slot       int64
+	demandedAt time.Time
+	refusedAt  time.Time
+
+	// sendsLeft is how many more reports of each scope name the account.
+	sendsLeft [scopes]atomic.Int32
+}
+
+// The origins of requests.
+const (
+	originOwn = iota
+	// originDirect are the instances that report to this one directly.
+	originDirect
+	// originFar are the others, whose sums arrive.
+	originFar
+	origins
+)
+
+// decision is the outcome for one request, with its inputs.
+type decision struct {
+	isAdmitted bool
+	retryAfter time.Duration
+	// isOnset is set for the first refusal in a window.
+	isOnset       bool
+	level, weight float64
+}
+
+func (a *account) configure(now time.Time, s standing, configured redwingstall.ClientAccount, b Bounds) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.at.IsZero() {
+		a.rate, a.burst = configured.Rate, configured.Burst
+		a.at, a.markedAt, a.share = now, now, s.share()
+		a.level = a.burst * a.share
+		a.slot = slotOf(now, b)
+		_, capacity := a.pace(now, s, b)
+		a.tokens = min(capacity, minTokens)
+		return
+	}
+	a.advance(now, s, b)
+	// A higher limit adds no credit at once: the instances learn of it one after the other.
+	a.rate, a.burst = configured.Rate, configured.Burst
+	a.level = min(a.level, a.burst*a.share)
+}
+
+func slotOf(now time.Time, b Bounds) int64 {
+	return now.UnixNano() / (b.Window.Nanoseconds() / slotsPerWindow)
+}
+
+// advance computes the state at now. Times that go back change nothing.
+func (a *account) advance(now time.Time, s standing, b Bounds) {
+	a.setShare(s.share())
+	elapsed := now.Sub(a.at)
+	if elapsed <= 0 {
+		return
+	}
+	a.at = now
+	decay := math.Exp(-elapsed.Seconds() / demandTime.Seconds())
+	for n := range a.demand {
+		a.demand[n] *= decay
+	}
+	a.level = min(a.level+a.rate*a.share*elapsed.Seconds(), max(a.burst*a.share, a.level))
+	rate, capacity := a.pace(now, s, b)
+	a.tokens = min(a.tokens+rate*elapsed.Seconds(), max(capacity, 0))
+	a.clearSlots(slotOf(now, b))
+	if now.Sub(a.markedAt) >= markInterval {
+		a.marks, a.nextMarks, a.markedAt = a.nextMarks, a.counts, now
+	}
+}
+
+// setShare adopts the part of the limit that belongs to the instances in touch. Those that are
+// out of touch are taken to have spent their part of the credit, and of the rate since the last
+// report.
+func (a *account) setShare(share float64) {
+	if share < a.share && a.share > 0 {
+		a.level -= (a.share - share) / a.share * (max(a.level, 0) + a.rate*a.share*silenceTimeout.Seconds())
+	}
+	a.share = share
+}
+
+func (a *account) clearSlots(slot int64) {
+	for n := a.slot + 1; n <= slot && n <= a.slot+int64(len(a.spent)); n++ {
+		a.spentSum -= a.spent[n%int64(len(a.spent))]
+		a.spent[n%int64(len(a.spent))] = 0
+	}
+	a.slot = max(a.slot, slot)
+}
+
+// weight is this instance's share of the demand at those in touch.
+func (a *account) weight(s standing) float64 {
+	prior := priorShare * a.rate * a.share / float64(s.heard) * demandTime.Seconds()
+	total := a.demand[originOwn] + max(a.demand[originDirect], 0) + max(a.demand[originFar], 0) + prior*float64(s.heard)
+	if total <= 0 {
+		return 1 / float64(s.heard)
+	}
+	return (a.demand[originOwn] + prior) / total
+}
+
+// pace returns the rate at which this instance gets tokens, and how many it may hold.
+func (a *account) pace(now time.Time, s standing, b Bounds) (rate, capacity float64) {
+	spendable := a.level
+	if spendable > 0 {
+		spendable *= levelShare
+	}
+	total := a.rate*a.share + spendable/reactionTime.Seconds()
+	if total <= 0 {
+		return 0, max(a.tokens, minTokens)
+	}
+	rate = a.weight(s) * total
+	capacity = rate * reactionTime.Seconds()
+	headroom := ((a.rate*b.Window.Seconds()+a.burst)*(1+b.Overrun)+b.Slack)*a.share - a.spentSum
+	perInstance := headroomShare * headroom / float64(s.heard)
+	if now.Sub(a.demandedAt) < memoryTime || a.isFirst(perInstance) {
+		perInstance = max(perInstance, minTokens)
+	}
+	return rate, max(capacity, perInstance)
+}
+
+// headroomShare is the part of what is left in the window that the instances may hold as
+// tokens.
+const headroomShare = 0.7
+
+// isFirst selects the given part of the instances, others for each account.
+func (a *account) isFirst(part float64) bool { return a.rank < part }
+
+func (a *account) admit(now time.Time, s standing, b Bounds) decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now, s, b)
+	a.demand[originOwn]++
+	a.demandedAt = now
+	if a.tokens >= 1 && a.level > -a.rate*a.share*reactionTime.Seconds() {
+		a.tokens--
+		a.charge(originOwn, 1)
+		return decision{isAdmitted: true}
+	}
+	d := decision{level: a.level, weight: a.weight(s), isOnset: a.refusedAt.IsZero() || now.Sub(a.refusedAt) > b.Window}
+	a.refusedAt = now
+	rate, _ := a.pace(now, s, b)
+	wait := maxRetryAfter
+	if rate > 0 {
+		wait = time.Duration(min((1-a.tokens)/rate, maxRetryAfter.Seconds()) * float64(time.Second))
+	} else if a.rate*a.share > 0 {
+		wait = time.Duration(min(-a.level/(a.rate*a.share), maxRetryAfter.Seconds()) * float64(time.Second))
+	}
+	d.retryAfter = max(wait, minRetryAfter)
+	return d
+}
+
+// charge records n requests.
+func (a *account) charge(origin int, n float64) {
+	a.level = min(a.level-n, max(a.burst*a.share, a.level))
+	a.counts[origin] += uint32(int32(n))
+	a.spent[a.slot%int64(len(a.spent))] += n
+	a.spentSum += n
+}
+
+func (a *account) refund(now time.Time, s standing, b Bounds) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now, s, b)
+	a.charge(originOwn, -1)
+	a.tokens++
+	a.demand[originOwn] = max(a.demand[originOwn]-1, 0)
+}
--- /dev/null
+++ b/internal/traffic/quota/usage.go
@@ -0,0 +1,345 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Row is the usage of one account.
+type Row struct {
+	Account uint32
+	// Count is the number of admitted requests since the start of the process that reports
+	// it, and Recent how many of them belong to the last intervals. Count wraps around.
+	Count  uint32
+	Recent uint32
+	// Demand is what was asked for, with the time constant that all instances use.
+	Demand float64
+}
+
+// Usage is what one process reports. Rows hold only accounts that changed.
+type Usage struct {
+	Process uint64
+	// Sequence grows with each report of the process.
+	Sequence uint32
+	// Heard is the number of instances whose usage the rows sum up.
+	Heard int
+	Rows  []Row
+}
+
+// Scope is whose usage a report sums up.
+type Scope int
+
+// The scopes of reports.
+const (
+	// ScopeOwn is one instance, ScopeDomain a failure domain and ScopeTotal all instances.
+	ScopeOwn Scope = iota
+	ScopeDomain
+	ScopeTotal
+
+	scopeOwn    = int(ScopeOwn)
+	scopeDomain = int(ScopeDomain)
+	scopeTotal  = int(ScopeTotal)
+	scopes      = scopeTotal + 1
+)
+
+const (
+	// sendsPerChange is how often a change is reported: single datagrams may be lost.
+	sendsPerChange = 3
+	// markInterval bounds from below what a report calls recent. Twice that is the upper
+	// bound.
+	markInterval = time.Second
+	// learningTime is how long a new process takes counts that it sees first for old.
+	learningTime = 2 * time.Second
+	// forgetTime is the time without reports after which a source is removed.
+	forgetTime = time.Minute
+)
+
+// changeList holds the accounts to be reported in one scope, each once.
+type changeList struct {
+	mu       sync.Mutex
+	accounts []*account
+}
+
+// markChanged schedules the reports of an account's change, in the given scope and in those
+// that include it.
+func (l *Limiter) markChanged(a *account, from Scope) {
+	for n := int(from); n < scopes; n++ {
+		if a.sendsLeft[n].Swap(sendsPerChange) == 0 {
+			c := &l.changes[n]
+			c.mu.Lock()
+			c.accounts = append(c.accounts, a)
+			c.mu.Unlock()
+		}
+	}
+}
+
+// TakeUsage returns the next report in a scope, with up to maxRows of the accounts that changed.
+func (l *Limiter) TakeUsage(now time.Time, scope Scope, maxRows int) Usage {
+	s, b := l.currentStanding(now), l.bounds()
+	l.mu.Lock()
+	l.sequence++
+	usage := Usage{Process: l.Process, Sequence: l.sequence, Heard: max(l.heard[scope], 1)}
+	l.mu.Unlock()
+	c := &l.changes[scope]
+	c.mu.Lock()
+	n := min(len(c.accounts), maxRows)
+	taken := c.accounts[:n:n]
+	c.accounts = slices.Clone(c.accounts[n:])
+	c.mu.Unlock()
+	for _, a := range taken {
+		left := a.sendsLeft[scope].Add(-1)
+		usage.Rows = append(usage.Rows, a.report(now, s, b, scope))
+		if left > 0 {
+			c.mu.Lock()
+			c.accounts = append(c.accounts, a)
+			c.mu.Unlock()
+		}
+	}
+	return usage
+}
+
+func (a *account) report(now time.Time, s standing, b Bounds, scope Scope) Row {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now, s, b)
+	row := Row{Account: a.id}
+	for origin := range int(scope) + 1 { // each scope adds one origin
+		row.Count += a.counts[origin]
+		row.Recent += uint32(max(int32(a.counts[origin]-a.marks[origin]), 0))
+		row.Demand += a.demand[origin]
+	}
+	if scope == ScopeOwn {
+		a.reported = a.counts[originOwn]
+	}
+	return row
+}
+
+// sourceKey identifies whose requests a source stands for: those of an instance, a failure
+// domain, or all.
+type sourceKey struct {
+	scope Scope
+	name  string
+}
+
+// source holds what was reported about the requests of one instance or failure domain.
+type source struct {
+	streams map[string]*stream
+	usage   map[uint32]reported
+}
+
+// reported is the usage of one account at a source.
+type reported struct {
+	// progress is the count that was charged.
+	progress uint32
+	demand   float64
+	// at is when it was last reported.
+	at time.Time
+}
+
+// stream is what one process reports about a source.
+type stream struct {
+	process uint64
+	// sequence, heardAt and heard belong to the newest report.
+	sequence uint32
+	heardAt  time.Time
+	heard    int
+	rows     map[uint32]streamRow
+}
+
+// streamRow is the last row of an account in a stream. Offset is added to its counts, so that
+// the two reporters of a failure domain, which have counted since different times, agree.
+type streamRow struct {
+	sequence uint32
+	offset   uint32
+}
+
+// MergeUsage charges what another process reports: in ScopeOwn about itself, in ScopeDomain about
+// the failure domain with the given name, and in ScopeTotal about all instances.
+func (l *Limiter) MergeUsage(now time.Time, scope Scope, name, sender string, usage Usage) {
+	s, b := l.currentStanding(now), l.bounds()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.directory.Load()
+	if usage.Process == l.Process {
+		return
+	}
+	from := l.source(sourceKey{scope, name})
+	current := from.streams[sender]
+	if current == nil || current.process != usage.Process {
+		current = &stream{process: usage.Process, rows: map[uint32]streamRow{}}
+		from.streams[sender] = current
+	}
+	if int32(usage.Sequence-current.sequence) > 0 || current.heardAt.IsZero() {
+		current.sequence, current.heard, current.heardAt = usage.Sequence, usage.Heard, now
+	}
+	if d == nil {
+		return
+	}
+	isLearning := l.startedAt.IsZero() || now.Sub(l.startedAt) < learningTime
+	for _, row := range usage.Rows {
+		if a := d.byID[row.Account]; a != nil {
+			a.merge(now, s, b, scope, from, current, usage.Sequence, row, isLearning)
+			if scope != ScopeTotal {
+				l.markChanged(a, scope+1)
+			}
+		}
+	}
+}
+
+func (l *Limiter) source(key sourceKey) *source {
+	from := l.sources[key]
+	if from == nil {
+		from = &source{streams: map[string]*stream{}, usage: map[uint32]reported{}}
+		if l.sources == nil {
+			l.sources = map[sourceKey]*source{}
+		}
+		l.sources[key] = from
+	}
+	return from
+}
+
+// merge charges a row. Counts only ever advance: a row that is late or arrives twice adds
+// nothing.
+func (a *account) merge(now time.Time, s standing, b Bounds, scope Scope, from *source, current *stream, sequence uint32, row Row, isLearning bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.advance(now, s, b)
+	if scope == ScopeTotal {
+		row = a.withoutOwn(row)
+	}
+	last, isKnown := current.rows[row.Account]
+	if isKnown && int32(sequence-last.sequence) <= 0 {
+		return
+	}
+	known, isReported := from.usage[row.Account]
+	if !isKnown {
+		// What a process counted before this one could hear it is old, but for the recent part.
+		// Another reporter of the same failure domain may have reported that.
+		charge := min(row.Recent, row.Count)
+		if isLearning || isReported && scope != ScopeOwn && now.Sub(known.at) < silenceTimeout {
+			charge = 0
+		}
+		last.offset = known.progress + charge - row.Count
+	}
+	last.sequence = sequence
+	current.rows[row.Account] = last
+	origin := originFar
+	if scope == ScopeOwn {
+		origin = originDirect
+	}
+	if charge := int32(row.Count + last.offset - known.progress); charge > 0 {
+		a.charge(origin, float64(charge))
+		known.progress += uint32(charge)
+	}
+	if scope == ScopeTotal {
+		a.demand[origin] = row.Demand
+	} else {
+		a.demand[origin] = max(a.demand[origin]+row.Demand-decayed(known.demand, now.Sub(known.at)), 0)
+	}
+	known.demand, known.at = row.Demand, now
+	from.usage[row.Account] = known
+}
+
+// withoutOwn subtracts this instance's own part of a row about all instances: what it last
+// reported. The error is what crosses at that moment, and does not add up.
+func (a *account) withoutOwn(row Row) Row {
+	row.Count -= a.reported
+	row.Recent -= min(row.Recent, uint32(max(int32(a.reported-a.marks[originOwn]), 0)))
+	row.Demand = max(row.Demand-a.demand[originOwn], 0)
+	return row
+}
+
+func decayed(demand float64, elapsed time.Duration) float64 {
+	return demand * math.Exp(-max(elapsed, 0).Seconds()/demandTime.Seconds())
+}
+
+// Fleet is what the exchange knows of the instances.
+type Fleet struct {
+	// Listed is the number of instances for which credit is set aside, this one included, or
+	// zero if it is not known.
+	Listed int
+	// IsCurrent is set if the list of instances is known to be current.
+	IsCurrent bool
+}
+
+// exclusionTime is the time without touch to all instances and without a current list after
+// which the others may no longer set aside credit for this one. It is shorter than the time for
+// which they do.
+const exclusionTime = RetentionTime * 3 / 4
+
+// RetentionTime is how long credit is set aside for an instance that vanished from the list
+// without notice. It may be running, without access to the store.
+const RetentionTime = time.Minute
+
+// Step updates which instances are in touch. The exchange calls it with each report that it
+// sends.
+func (l *Limiter) Step(now time.Time, fleet Fleet) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.startedAt.IsZero() {
+		l.startedAt, l.inTouchAt = now, now
+	}
+	if !l.steppedAt.IsZero() && now.Sub(l.steppedAt) > silenceTimeout {
+		// The process was suspended. Reports that wait in the socket's buffer are old.
+		l.doubtedUntil = now.Add(silenceTimeout)
+		l.Count("quota.suspensions")
+	}
+	l.steppedAt = now
+	l.countHeard(now)
+	next := &standing{listed: fleet.Listed, heard: l.heard[ScopeTotal], at: now}
+	if fleet.Listed == 0 {
+		next.listed = unknownInstances
+	}
+	if now.Before(l.doubtedUntil) {
+		next.heard = 1
+	}
+	next.heard = min(next.heard, next.listed)
+	if next.heard == next.listed || fleet.IsCurrent {
+		l.inTouchAt = now
+	}
+	next.isExcluded = now.Sub(l.inTouchAt) > exclusionTime
+	previous := l.standing.Swap(next)
+	if previous != nil && (previous.heard != next.heard || previous.listed != next.listed) && l.HasAccounts() {
+		l.Count("quota.standingChanges")
+		l.Log.Debug("instances in touch", "heard", next.heard, "listed", next.listed, "before", previous.heard, "isExcluded", next.isExcluded)
+	}
+}
+
+// countHeard counts the instances whose reports arrive, and forgets sources without any.
+func (l *Limiter) countHeard(now time.Time) {
+	l.heard = [scopes]int{1, 1, 1}
+	total := 0
+	for key, from := range l.sources {
+		heard := from.heard(now)
+		switch key.scope {
+		case ScopeOwn:
+			l.heard[ScopeDomain] += min(heard, 1)
+			l.heard[ScopeTotal] += min(heard, 1)
+		case ScopeDomain:
+			l.heard[ScopeTotal] += heard
+		case ScopeTotal:
+			total = heard
+		}
+		if len(from.streams) == 0 {
+			delete(l.sources, key)
+		}
+	}
+	l.heard[ScopeTotal] = max(l.heard[ScopeTotal], total)
+}
+
+// heard returns the number of instances that a source stands for now.
+func (f *source) heard(now time.Time) int {
+	heard := 0
+	for sender, current := range f.streams {
+		silence := now.Sub(current.heardAt)
+		if silence < silenceTimeout {
+			heard = max(heard, current.heard)
+		}
+		if silence > forgetTime {
+			delete(f.streams, sender)
+		}
+	}
+	return heard
+}
