--- a/internal/fleet/peers/fleet_test.go
+++ b/internal/fleet/peers/fleet_test.go
@@ -27,6 +27,8 @@
 type network struct {
 	mu      sync.Mutex
 	sockets map[netip.AddrPort]*memorySocket
+	// isLost decides which datagrams are lost, and is nil if none is.
+	isLost func(from, to netip.AddrPort) bool
 }
 
 type packet struct {
@@ -43,6 +45,29 @@
 	// sent and received count datagrams, and sentBytes their size. The lock of the
 	// network guards them.
 	sent, received, sentBytes int
+	// thawed is closed when the suspension of the process ends, and nil while it runs.
+	thawed chan struct{}
+}
+
+// setSuspended stops or continues all that the process sends and receives.
+func (s *memorySocket) setSuspended(isSuspended bool) {
+	s.network.mu.Lock()
+	defer s.network.mu.Unlock()
+	if isSuspended {
+		s.thawed = make(chan struct{})
+		return
+	}
+	close(s.thawed)
+	s.thawed = nil
+}
+
+func (s *memorySocket) awaitThaw() {
+	s.network.mu.Lock()
+	thawed := s.thawed
+	s.network.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
 }
 
 func (n *network) listen(index int) *memorySocket {
@@ -53,10 +78,14 @@
 }
 
 func (s *memorySocket) WriteToUDPAddrPort(b []byte, address netip.AddrPort) (int, error) {
+	s.awaitThaw()
 	s.network.mu.Lock()
 	defer s.network.mu.Unlock()
 	s.sent++
 	s.sentBytes += len(b)
+	if s.network.isLost != nil && s.network.isLost(s.address, address) {
+		return len(b), nil
+	}
 	if target := s.network.sockets[address]; target != nil {
 		select {
 		case target.incoming <- packet{slices.Clone(b), s.address}:
@@ -70,6 +99,7 @@
 func (s *memorySocket) ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error) {
 	select {
 	case p := <-s.incoming:
+		s.awaitThaw()
 		return copy(b, p.bytes), p.sender, nil
 	case <-s.closed:
 		return 0, netip.AddrPort{}, net.ErrClosed
--- a/internal/fleet/peers/quotas.go
+++ b/internal/fleet/peers/quotas.go
@@ -18,7 +18,7 @@
 	// maxUsageRows keeps a datagram of one instance below the usual MTU, beside its loads. What
 	// is left is sent with the next one.
 	maxUsageRows = 40
-	// maxSumUsageRows bounds the usage in a datagram with sums to 28 KB.
+	// maxSumUsageRows bounds the usage in a datagram with sums to 32 KB.
 	maxSumUsageRows = 2000
 	// usageInterval is the time after which an instance without load reports that it runs. The
 	// others take it to be out of touch after a second.
@@ -28,8 +28,8 @@
 	// heard and the rows in 16 each.
 	usageHeaderBytes = 16
 	// usageRowBytes are the account, the count and the demand in 32 bits each, and the recent
-	// count in 16.
-	usageRowBytes = 14
+	// count and the active instances in 16.
+	usageRowBytes = 16
 )
 
 var errInvalidUsage = errors.New("peers: usage of client accounts is not valid")
@@ -135,6 +135,7 @@
 		b = binary.LittleEndian.AppendUint32(b, row.Count)
 		b = binary.LittleEndian.AppendUint32(b, math.Float32bits(float32(row.Demand)))
 		b = binary.LittleEndian.AppendUint16(b, uint16(min(row.Recent, math.MaxUint16)))
+		b = binary.LittleEndian.AppendUint16(b, uint16(min(row.Active, math.MaxUint16)))
 	}
 	return append(b, message...)
 }
@@ -169,6 +170,7 @@
 			Count:   binary.LittleEndian.Uint32(b[4:]),
 			Demand:  demand,
 			Recent:  uint32(binary.LittleEndian.Uint16(b[12:])),
+			Active:  int(binary.LittleEndian.Uint16(b[14:])),
 		})
 		b = b[usageRowBytes:]
 	}
--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -13,10 +13,13 @@
 	// reactionTime is how long it takes until other instances know of a request: two
 	// exchanges and the way between two failure domains.
 	reactionTime = 500 * time.Millisecond
-	// demandTime is the time constant of the demand by which instances share a limit.
-	demandTime = 3 * time.Second
+	// The demand by which instances share a limit decays with a time constant in which
+	// demandRequests are within the limit, within the given bounds.
+	demandRequests = 40
+	minDemandTime  = 2 * time.Second
+	maxDemandTime  = 20 * time.Second
 	// priorShare is the demand that each instance is taken to have beyond what it reports, as
-	// a part of the limit's equal share in demandTime.
+	// a part of the limit's equal share in that time.
 	priorShare = 0.2
 	// levelShare is the part of a positive level that all instances may spend within
 	// reactionTime. The rest makes up for what they do not know of each other.
@@ -45,18 +48,25 @@
 
 	mu          sync.Mutex
 	rate, burst float64
+	demandTime  time.Duration
 	// level is the credit of all instances together as far as this one knows, which may be
 	// negative. at is the time up to which it and the demand are computed.
 	level float64
 	at    time.Time
 	// share is the part of the limit that level refers to.
 	share float64
+	// reserve is the credit set aside for instances out of touch. outOfTouchAt is when there
+	// were some last.
+	reserve      float64
+	outOfTouchAt time.Time
 	// tokens are what this instance may spend before others know of it.
 	tokens float64
 	// counts are the admitted requests of this instance, of those that report to it and of
-	// the others; demand is the same for what was asked for, decaying with demandTime.
+	// the others; demand is the same for what was asked for, decaying.
 	counts [origins]uint32
 	demand [origins]float64
+	// active is the number of instances with requests of the account.
+	active [origins]int
 	// marks and nextMarks are the counts between one and two marking intervals ago, and at
 	// the last mark. reported is the own count of the last report.
 	marks, nextMarks [origins]uint32
@@ -96,7 +106,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.at.IsZero() {
-		a.rate, a.burst = configured.Rate, configured.Burst
+		a.setLimit(configured)
 		a.at, a.markedAt, a.share = now, now, s.share()
 		a.level = a.burst * a.share
 		a.slot = slotOf(now, b)
@@ -106,10 +116,21 @@
 	}
 	a.advance(now, s, b)
 	// A higher limit adds no credit at once: the instances learn of it one after the other.
-	a.rate, a.burst = configured.Rate, configured.Burst
+	a.setLimit(configured)
 	a.level = min(a.level, a.burst*a.share)
 }
 
+func (a *account) setLimit(configured redwingstall.ClientAccount) {
+	a.rate, a.burst = configured.Rate, configured.Burst
+	inSeconds := min(max(demandRequests/a.rate, minDemandTime.Seconds()), maxDemandTime.Seconds())
+	a.demandTime = time.Duration(inSeconds * float64(time.Second))
+}
+
+// decay is what remains of a demand after a time.
+func (a *account) decay(elapsed time.Duration) float64 {
+	return math.Exp(-max(elapsed, 0).Seconds() / a.demandTime.Seconds())
+}
+
 func slotOf(now time.Time, b Bounds) int64 {
 	return now.UnixNano() / (b.Window.Nanoseconds() / slotsPerWindow)
 }
@@ -122,11 +143,17 @@
 		return
 	}
 	a.at = now
-	decay := math.Exp(-elapsed.Seconds() / demandTime.Seconds())
+	decay := a.decay(elapsed)
 	for n := range a.demand {
 		a.demand[n] *= decay
 	}
 	a.level = min(a.level+a.rate*a.share*elapsed.Seconds(), max(a.burst*a.share, a.level))
+	if a.share < 1 {
+		a.outOfTouchAt = now
+		a.reserve += a.rate * (1 - a.share) * elapsed.Seconds()
+	} else if now.Sub(a.outOfTouchAt) > returnTime {
+		a.reserve = 0
+	}
 	rate, capacity := a.pace(now, s, b)
 	a.tokens = min(a.tokens+rate*elapsed.Seconds(), max(capacity, 0))
 	a.clearSlots(slotOf(now, b))
@@ -140,7 +167,9 @@
 // report.
 func (a *account) setShare(share float64) {
 	if share < a.share && a.share > 0 {
-		a.level -= (a.share - share) / a.share * (max(a.level, 0) + a.rate*a.share*silenceTimeout.Seconds())
+		aside := (a.share - share) / a.share * (max(a.level, 0) + a.rate*a.share*silenceTimeout.Seconds())
+		a.level -= aside
+		a.reserve += aside
 	}
 	a.share = share
 }
@@ -155,7 +184,7 @@
 
 // weight is this instance's share of the demand at those in touch.
 func (a *account) weight(s standing) float64 {
-	prior := priorShare * a.rate * a.share / float64(s.heard) * demandTime.Seconds()
+	prior := priorShare * a.rate * a.share / float64(s.heard) * a.demandTime.Seconds()
 	total := a.demand[originOwn] + max(a.demand[originDirect], 0) + max(a.demand[originFar], 0) + prior*float64(s.heard)
 	if total <= 0 {
 		return 1 / float64(s.heard)
@@ -173,19 +202,35 @@
 	if total <= 0 {
 		return 0, max(a.tokens, minTokens)
 	}
-	rate = a.weight(s) * total
-	capacity = rate * reactionTime.Seconds()
+	weight := a.weight(s)
+	rate = weight * total
 	headroom := ((a.rate*b.Window.Seconds()+a.burst)*(1+b.Overrun)+b.Slack)*a.share - a.spentSum
-	perInstance := headroomShare * headroom / float64(s.heard)
-	if now.Sub(a.demandedAt) < memoryTime || a.isFirst(perInstance) {
-		perInstance = max(perInstance, minTokens)
+	capacity = max(rate*reactionTime.Seconds(), headroom*(weightedHeadroom*weight+equalHeadroom/float64(s.heard)))
+	switch {
+	case headroom >= assumedDemand*a.rate*a.share:
+		capacity = max(capacity, maxActiveTokens)
+	case now.Sub(a.demandedAt) < memoryTime:
+		active := float64(1 + a.active[originDirect] + a.active[originFar])
+		capacity = max(capacity, minTokens, min(activeHeadroom*headroom/active, maxActiveTokens))
+	case a.isFirst(headroom / float64(s.heard)):
+		capacity = max(capacity, minTokens)
 	}
-	return rate, max(capacity, perInstance)
+	return rate, capacity
 }
 
-// headroomShare is the part of what is left in the window that the instances may hold as
-// tokens.
-const headroomShare = 0.7
+// assumedDemand is the demand, in times of the limit, that no account exceeds within a second.
+// What it leaves of the window needs no division among the instances.
+const assumedDemand = 5
+
+// The parts of what is left in the window that the instances may hold as tokens: by their
+// demand, equally, and equally among those with recent requests of the account.
+const (
+	weightedHeadroom = 0.3
+	equalHeadroom    = 0.2
+	activeHeadroom   = 0.25
+	// maxActiveTokens bounds the last part. Requests that arrive at random seldom exceed it.
+	maxActiveTokens = 4
+)
 
 // isFirst selects the given part of the instances, others for each account.
 func (a *account) isFirst(part float64) bool { return a.rank < part }
--- a/internal/traffic/quota/usage.go
+++ b/internal/traffic/quota/usage.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +15,8 @@
 	Recent uint32
 	// Demand is what was asked for, with the time constant that all instances use.
 	Demand float64
+	// Active is the number of instances with requests of the account.
+	Active int
 }
 
 // Usage is what one process reports. Rows hold only accounts that changed.
@@ -52,6 +53,8 @@
 	markInterval = time.Second
 	// learningTime is how long a new process takes counts that it sees first for old.
 	learningTime = 2 * time.Second
+	// returnTime is the time in which the usage of instances that are back in touch arrives.
+	returnTime = 2 * time.Second
 	// forgetTime is the time without reports after which a source is removed.
 	forgetTime = time.Minute
 )
@@ -104,11 +107,12 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.advance(now, s, b)
-	row := Row{Account: a.id}
+	row := Row{Account: a.id, Active: 1}
 	for origin := range int(scope) + 1 { // each scope adds one origin
 		row.Count += a.counts[origin]
 		row.Recent += uint32(max(int32(a.counts[origin]-a.marks[origin]), 0))
 		row.Demand += a.demand[origin]
+		row.Active += a.active[origin]
 	}
 	if scope == ScopeOwn {
 		a.reported = a.counts[originOwn]
@@ -126,7 +130,9 @@
 // source holds what was reported about the requests of one instance or failure domain.
 type source struct {
 	streams map[string]*stream
-	usage   map[uint32]reported
+	// heardAt is when a report arrived last, and returnedAt when instances came back in touch.
+	heardAt, returnedAt time.Time
+	usage               map[uint32]reported
 }
 
 // reported is the usage of one account at a source.
@@ -134,6 +140,7 @@
 	// progress is the count that was charged.
 	progress uint32
 	demand   float64
+	active   int
 	// at is when it was last reported.
 	at time.Time
 }
@@ -171,6 +178,10 @@
 		current = &stream{process: usage.Process, rows: map[uint32]streamRow{}}
 		from.streams[sender] = current
 	}
+	if now.Sub(from.heardAt) > silenceTimeout || usage.Heard > current.heard {
+		from.returnedAt = now
+	}
+	from.heardAt = now
 	if int32(usage.Sequence-current.sequence) > 0 || current.heardAt.IsZero() {
 		current.sequence, current.heard, current.heardAt = usage.Sequence, usage.Heard, now
 	}
@@ -230,31 +241,35 @@
 		origin = originDirect
 	}
 	if charge := int32(row.Count + last.offset - known.progress); charge > 0 {
+		if known.at.Before(from.returnedAt) {
+			// It has been spent from what was set aside.
+			covered := min(a.reserve, float64(charge))
+			a.reserve -= covered
+			a.level += covered
+		}
 		a.charge(origin, float64(charge))
 		known.progress += uint32(charge)
 	}
 	if scope == ScopeTotal {
 		a.demand[origin] = row.Demand
 	} else {
-		a.demand[origin] = max(a.demand[origin]+row.Demand-decayed(known.demand, now.Sub(known.at)), 0)
+		a.demand[origin] = max(a.demand[origin]+row.Demand-known.demand*a.decay(now.Sub(known.at)), 0)
 	}
-	known.demand, known.at = row.Demand, now
+	a.active[origin] += row.Active - known.active
+	known.demand, known.at, known.active = row.Demand, now, row.Active
 	from.usage[row.Account] = known
 }
 
 // withoutOwn subtracts this instance's own part of a row about all instances: what it last
 // reported. The error is what crosses at that moment, and does not add up.
 func (a *account) withoutOwn(row Row) Row {
+	row.Active = max(row.Active-1, 0)
 	row.Count -= a.reported
 	row.Recent -= min(row.Recent, uint32(max(int32(a.reported-a.marks[originOwn]), 0)))
 	row.Demand = max(row.Demand-a.demand[originOwn], 0)
 	return row
 }
 
-func decayed(demand float64, elapsed time.Duration) float64 {
-	return demand * math.Exp(-max(elapsed, 0).Seconds()/demandTime.Seconds())
-}
-
 // Fleet is what the exchange knows of the instances.
 type Fleet struct {
 	// Listed is the number of instances for which credit is set aside, this one included, or
@@ -323,12 +338,31 @@
 			total = heard
 		}
 		if len(from.streams) == 0 {
-			delete(l.sources, key)
+			l.removeSource(key, from)
 		}
 	}
 	l.heard[ScopeTotal] = max(l.heard[ScopeTotal], total)
 }
 
+func (l *Limiter) removeSource(key sourceKey, from *source) {
+	delete(l.sources, key)
+	d := l.directory.Load()
+	if d == nil {
+		return
+	}
+	origin := originFar
+	if key.scope == ScopeOwn {
+		origin = originDirect
+	}
+	for id, known := range from.usage {
+		if a := d.byID[id]; a != nil {
+			a.mu.Lock()
+			a.active[origin] = max(a.active[origin]-known.active, 0)
+			a.mu.Unlock()
+		}
+	}
+}
+
 // heard returns the number of instances that a source stands for now.
 func (f *source) heard(now time.Time) int {
 	heard := 0
