--- a/internal/fleet/peers/quotas.go
+++ b/internal/fleet/peers/quotas.go
@@ -22,7 +22,7 @@
 	maxSumUsageRows = 2000
 	// usageInterval is the time after which an instance without load reports that it runs. The
 	// others take it to be out of touch after a second.
-	usageInterval = 400 * time.Millisecond
+	usageInterval = 200 * time.Millisecond
 
 	// usageHeaderBytes are the process in 64 bits, the sequence in 32, and the instances
 	// heard and the rows in 16 each.
@@ -30,6 +30,10 @@
 	// usageRowBytes are the account, the count and the demand in 32 bits each, and the recent
 	// count and the active instances in 16.
 	usageRowBytes = 16
+	// The number of instances heard shares its 16 bits with the bit that says whether none of
+	// them is silent.
+	freshBit = 1 << 15
+	maxHeard = freshBit - 1
 )
 
 var errInvalidUsage = errors.New("peers: usage of client accounts is not valid")
@@ -128,7 +132,11 @@
 	b = append(b, usagePrefix)
 	b = binary.LittleEndian.AppendUint64(b, usage.Process)
 	b = binary.LittleEndian.AppendUint32(b, usage.Sequence)
-	b = binary.LittleEndian.AppendUint16(b, uint16(min(usage.Heard, math.MaxUint16)))
+	heard := uint16(min(usage.Heard, maxHeard))
+	if usage.IsFresh {
+		heard |= freshBit
+	}
+	b = binary.LittleEndian.AppendUint16(b, heard)
 	b = binary.LittleEndian.AppendUint16(b, uint16(len(usage.Rows)))
 	for _, row := range usage.Rows {
 		b = binary.LittleEndian.AppendUint32(b, row.Account)
@@ -153,7 +161,8 @@
 	usage = &quota.Usage{
 		Process:  binary.LittleEndian.Uint64(b),
 		Sequence: binary.LittleEndian.Uint32(b[8:]),
-		Heard:    int(binary.LittleEndian.Uint16(b[12:])),
+		Heard:    int(binary.LittleEndian.Uint16(b[12:]) &^ freshBit),
+		IsFresh:  binary.LittleEndian.Uint16(b[12:])&freshBit != 0,
 	}
 	rows := int(binary.LittleEndian.Uint16(b[14:]))
 	b = b[usageHeaderBytes:]
--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -170,6 +170,12 @@
 		aside := (a.share - share) / a.share * (max(a.level, 0) + a.rate*a.share*silenceTimeout.Seconds())
 		a.level -= aside
 		a.reserve += aside
+		// What was spent before belongs to all of them.
+		a.spentSum = 0
+		for n := range a.spent {
+			a.spent[n] *= share / a.share
+			a.spentSum += a.spent[n]
+		}
 	}
 	a.share = share
 }
@@ -197,6 +203,9 @@
 	spendable := a.level
 	if spendable > 0 {
 		spendable *= levelShare
+		if !s.isFresh {
+			spendable = 0
+		}
 	}
 	total := a.rate*a.share + spendable/reactionTime.Seconds()
 	if total <= 0 {
@@ -205,22 +214,35 @@
 	weight := a.weight(s)
 	rate = weight * total
 	headroom := ((a.rate*b.Window.Seconds()+a.burst)*(1+b.Overrun)+b.Slack)*a.share - a.spentSum
-	capacity = max(rate*reactionTime.Seconds(), headroom*(weightedHeadroom*weight+equalHeadroom/float64(s.heard)))
+	divided := headroom * (weightedHeadroom*weight + equalHeadroom/float64(s.heard))
+	if !s.isFresh {
+		divided *= silentHeadroom
+	}
+	capacity = max(rate*reactionTime.Seconds(), divided)
 	switch {
-	case headroom >= assumedDemand*a.rate*a.share:
-		capacity = max(capacity, maxActiveTokens)
+	case s.isFresh && headroom >= assumedDemand*a.rate*a.share:
+		rate, capacity = max(rate, calmRate), max(capacity, calmTokens)
 	case now.Sub(a.demandedAt) < memoryTime:
 		active := float64(1 + a.active[originDirect] + a.active[originFar])
-		capacity = max(capacity, minTokens, min(activeHeadroom*headroom/active, maxActiveTokens))
+		capacity = max(capacity, minTokens, min(activeHeadroom*headroom/active, calmTokens))
 	case a.isFirst(headroom / float64(s.heard)):
 		capacity = max(capacity, minTokens)
 	}
-	return rate, capacity
+	if headroom < minTokens && a.isFirst(headroom) {
+		return rate, minTokens
+	}
+	return rate, min(capacity, max(headroom, 0))
 }
 
-// assumedDemand is the demand, in times of the limit, that no account exceeds within a second.
-// What it leaves of the window needs no division among the instances.
-const assumedDemand = 5
+// An account that leaves assumedDemand times its limit of a window needs no exact division among
+// the instances: no account is taken to send more within reactionTime, which is nine times its
+// usual load. Each instance then has calmTokens, and gets calmRate of them a second.
+// Requests that arrive at random seldom exceed that.
+const (
+	assumedDemand = 3.0
+	calmTokens    = 4.0
+	calmRate      = 4.0
+)
 
 // The parts of what is left in the window that the instances may hold as tokens: by their
 // demand, equally, and equally among those with recent requests of the account.
@@ -228,8 +250,8 @@
 	weightedHeadroom = 0.3
 	equalHeadroom    = 0.2
 	activeHeadroom   = 0.25
-	// maxActiveTokens bounds the last part. Requests that arrive at random seldom exceed it.
-	maxActiveTokens = 4
+	// silentHeadroom reduces them while an instance is silent, which may be out of touch.
+	silentHeadroom = 0.3
 )
 
 // isFirst selects the given part of the instances, others for each account.
@@ -261,10 +283,24 @@
 
 // charge records n requests.
 func (a *account) charge(origin int, n float64) {
-	a.level = min(a.level-n, max(a.burst*a.share, a.level))
 	a.counts[origin] += uint32(int32(n))
-	a.spent[a.slot%int64(len(a.spent))] += n
-	a.spentSum += n
+	a.spend(n, n)
+}
+
+// spend takes n from the level, and records those in the window.
+func (a *account) spend(n, inWindow float64) {
+	a.level = min(a.level-n, max(a.burst*a.share, a.level))
+	a.spent[a.slot%int64(len(a.spent))] += inWindow
+	a.spentSum += inWindow
+}
+
+// chargeReturned records n requests of instances that were out of touch for a time. What was
+// set aside for them covers them first.
+func (a *account) chargeReturned(origin int, n float64, silence time.Duration, b Bounds) {
+	a.counts[origin] += uint32(n)
+	covered := min(a.reserve, n)
+	a.reserve -= covered
+	a.spend(n-covered, n*min(b.Window.Seconds()/silence.Seconds(), 1))
 }
 
 func (a *account) refund(now time.Time, s standing, b Bounds) {
--- a/internal/traffic/quota/limiter.go
+++ b/internal/traffic/quota/limiter.go
@@ -74,6 +74,8 @@
 	inTouchAt time.Time
 	// heard is the number of instances in touch, by scope.
 	heard [scopes]int
+	// isFresh is set, by scope, if none of them is silent.
+	isFresh [scopes]bool
 }
 
 // directory holds the accounts that have a limit.
@@ -87,6 +89,8 @@
 	// listed is the number of instances, and heard how many of them are in touch, this one
 	// included.
 	listed, heard int
+	// isFresh is set if no instance is silent that is taken to be in touch.
+	isFresh bool
 	// isExcluded is set if the others may no longer set aside credit for this instance.
 	isExcluded bool
 	// at is when it was last confirmed.
@@ -105,6 +109,8 @@
 	// silenceTimeout is the time without a report after which an instance is out of touch.
 	// Three reports fit in it.
 	silenceTimeout = time.Second
+	// freshTimeout is the time without a report after which an instance may be out of touch.
+	freshTimeout = 500 * time.Millisecond
 	// unknownInstances is the number of instances that a process assumes until it knows it.
 	unknownInstances = 100
 )
@@ -118,12 +124,14 @@
 func (l *Limiter) currentStanding(now time.Time) standing {
 	s := l.standing.Load()
 	if s == nil {
-		return standing{listed: 1, heard: 1, at: now}
+		return standing{listed: 1, heard: 1, isFresh: true, at: now}
 	}
 	if now.Sub(s.at) > silenceTimeout {
 		return standing{listed: s.listed, heard: 1, isExcluded: s.isExcluded, at: s.at}
 	}
-	return *s
+	current := *s
+	current.isFresh = s.isFresh && now.Sub(s.at) < freshTimeout
+	return current
 }
 
 // Configure sets the accounts and their limits. Usage of accounts that stay is kept.
--- a/internal/traffic/quota/usage.go
+++ b/internal/traffic/quota/usage.go
@@ -26,7 +26,9 @@
 	Sequence uint32
 	// Heard is the number of instances whose usage the rows sum up.
 	Heard int
-	Rows  []Row
+	// IsFresh is set if none of them is silent.
+	IsFresh bool
+	Rows    []Row
 }
 
 // Scope is whose usage a report sums up.
@@ -83,7 +85,7 @@
 	s, b := l.currentStanding(now), l.bounds()
 	l.mu.Lock()
 	l.sequence++
-	usage := Usage{Process: l.Process, Sequence: l.sequence, Heard: max(l.heard[scope], 1)}
+	usage := Usage{Process: l.Process, Sequence: l.sequence, Heard: max(l.heard[scope], 1), IsFresh: l.isFresh[scope]}
 	l.mu.Unlock()
 	c := &l.changes[scope]
 	c.mu.Lock()
@@ -132,7 +134,9 @@
 	streams map[string]*stream
 	// heardAt is when a report arrived last, and returnedAt when instances came back in touch.
 	heardAt, returnedAt time.Time
-	usage               map[uint32]reported
+	// silence is how long they were out of touch, at least.
+	silence time.Duration
+	usage   map[uint32]reported
 }
 
 // reported is the usage of one account at a source.
@@ -152,6 +156,7 @@
 	sequence uint32
 	heardAt  time.Time
 	heard    int
+	isFresh  bool
 	rows     map[uint32]streamRow
 }
 
@@ -178,12 +183,12 @@
 		current = &stream{process: usage.Process, rows: map[uint32]streamRow{}}
 		from.streams[sender] = current
 	}
-	if now.Sub(from.heardAt) > silenceTimeout || usage.Heard > current.heard {
-		from.returnedAt = now
+	if silence := now.Sub(from.heardAt); silence > silenceTimeout || usage.Heard > current.heard {
+		from.returnedAt, from.silence = now, max(silence, silenceTimeout)
 	}
 	from.heardAt = now
 	if int32(usage.Sequence-current.sequence) > 0 || current.heardAt.IsZero() {
-		current.sequence, current.heard, current.heardAt = usage.Sequence, usage.Heard, now
+		current.sequence, current.heard, current.isFresh, current.heardAt = usage.Sequence, usage.Heard, usage.IsFresh, now
 	}
 	if d == nil {
 		return
@@ -242,12 +247,10 @@
 	}
 	if charge := int32(row.Count + last.offset - known.progress); charge > 0 {
 		if known.at.Before(from.returnedAt) {
-			// It has been spent from what was set aside.
-			covered := min(a.reserve, float64(charge))
-			a.reserve -= covered
-			a.level += covered
+			a.chargeReturned(origin, float64(charge), from.silence, b)
+		} else {
+			a.charge(origin, float64(charge))
 		}
-		a.charge(origin, float64(charge))
 		known.progress += uint32(charge)
 	}
 	if scope == ScopeTotal {
@@ -303,7 +306,7 @@
 	}
 	l.steppedAt = now
 	l.countHeard(now)
-	next := &standing{listed: fleet.Listed, heard: l.heard[ScopeTotal], at: now}
+	next := &standing{listed: fleet.Listed, heard: l.heard[ScopeTotal], isFresh: l.isFresh[ScopeTotal], at: now}
 	if fleet.Listed == 0 {
 		next.listed = unknownInstances
 	}
@@ -324,10 +327,14 @@
 
 // countHeard counts the instances whose reports arrive, and forgets sources without any.
 func (l *Limiter) countHeard(now time.Time) {
-	l.heard = [scopes]int{1, 1, 1}
+	l.heard, l.isFresh = [scopes]int{1, 1, 1}, [scopes]bool{true, true, true}
 	total := 0
 	for key, from := range l.sources {
-		heard := from.heard(now)
+		heard, isFresh := from.heard(now)
+		if heard > 0 && !isFresh {
+			l.isFresh[ScopeTotal] = false
+			l.isFresh[ScopeDomain] = l.isFresh[ScopeDomain] && key.scope != ScopeOwn
+		}
 		switch key.scope {
 		case ScopeOwn:
 			l.heard[ScopeDomain] += min(heard, 1)
@@ -363,17 +370,18 @@
 	}
 }
 
-// heard returns the number of instances that a source stands for now.
-func (f *source) heard(now time.Time) int {
-	heard := 0
+// heard returns the number of instances that a source stands for now, and whether none of them is
+// silent.
+func (f *source) heard(now time.Time) (heard int, isFresh bool) {
 	for sender, current := range f.streams {
 		silence := now.Sub(current.heardAt)
 		if silence < silenceTimeout {
 			heard = max(heard, current.heard)
 		}
+		isFresh = isFresh || silence < freshTimeout && current.isFresh
 		if silence > forgetTime {
 			delete(f.streams, sender)
 		}
 	}
-	return heard
+	return heard, isFresh
 }
