--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -24,6 +24,9 @@
 	// levelShare is the part of a positive level that all instances may spend within
 	// reactionTime. The rest makes up for what they do not know of each other.
 	levelShare = 0.5
+	// maxDebtTime is how long the instances that stay in touch repay, at most, when others get
+	// out of touch.
+	maxDebtTime = 2 * time.Second
 	// memoryTime is how long an instance with requests of an account keeps a token for the
 	// next one.
 	memoryTime = time.Minute
@@ -35,7 +38,13 @@
 	minRetryAfter = 100 * time.Millisecond
 	// slotsPerWindow is the resolution of the sum over the last window. The current part
 	// comes on top, so that the sum is never too small.
-	slotsPerWindow = 10
+	slotsPerWindow = 20
+	// slotsPerSilence cover silenceTimeout in a window of 5 s.
+	slotsPerSilence = 4
+	// nearlyFull is the part of a bucket from which it counts as full.
+	nearlyFull = 0.95
+	// minStay bounds the factor by which an instance on its own estimates the others.
+	minStay = 0.001
 )
 
 // account is the state of one account at this instance.
@@ -163,13 +172,21 @@
 }
 
 // setShare adopts the part of the limit that belongs to the instances in touch. Those that are
-// out of touch are taken to have spent their part of the credit, and of the rate since the last
-// report.
+// out of touch are taken to have spent as much as these since their last report, in proportion.
 func (a *account) setShare(share float64) {
 	if share < a.share && a.share > 0 {
-		aside := (a.share - share) / a.share * (max(a.level, 0) + a.rate*a.share*silenceTimeout.Seconds())
-		a.level -= aside
-		a.reserve += aside
+		stay := share / a.share
+		full, refill := a.burst*a.share, a.rate*a.share*silenceTimeout.Seconds()
+		seen := a.spentLately()
+		unseen := seen * (1 - stay) / max(stay, minStay)
+		if a.level >= nearlyFull*full {
+			unseen = max(unseen-max(refill-seen, 0), 0) // a full bucket got no refill for what was not known
+		}
+		unseen = min(unseen, full+refill)
+		// The level belongs to all of them, as the debt does.
+		next := max(stay*(a.level-unseen), -maxDebtTime.Seconds()*a.rate*share)
+		a.reserve += max(a.level-next, 0)
+		a.level = next
 		// What was spent before belongs to all of them.
 		a.spentSum = 0
 		for n := range a.spent {
@@ -180,6 +197,15 @@
 	a.share = share
 }
 
+// spentLately returns what was spent within silenceTimeout, at least.
+func (a *account) spentLately() float64 {
+	sum := 0.0
+	for n := range slotsPerSilence + 1 {
+		sum += a.spent[(a.slot+int64(len(a.spent)-n))%int64(len(a.spent))]
+	}
+	return sum
+}
+
 func (a *account) clearSlots(slot int64) {
 	for n := a.slot + 1; n <= slot && n <= a.slot+int64(len(a.spent)); n++ {
 		a.spentSum -= a.spent[n%int64(len(a.spent))]
--- a/internal/traffic/quota/limiter.go
+++ b/internal/traffic/quota/limiter.go
@@ -109,8 +109,9 @@
 	// silenceTimeout is the time without a report after which an instance is out of touch.
 	// Three reports fit in it.
 	silenceTimeout = time.Second
-	// freshTimeout is the time without a report after which an instance may be out of touch.
-	freshTimeout = 500 * time.Millisecond
+	// freshTimeout is the time without a report after which an instance may be out of touch. Two
+	// intervals between failure domains fit in it.
+	freshTimeout = 700 * time.Millisecond
 	// unknownInstances is the number of instances that a process assumes until it knows it.
 	unknownInstances = 100
 )
--- a/internal/traffic/quota/usage.go
+++ b/internal/traffic/quota/usage.go
@@ -57,6 +57,8 @@
 	learningTime = 2 * time.Second
 	// returnTime is the time in which the usage of instances that are back in touch arrives.
 	returnTime = 2 * time.Second
+	// backlogTime is the time in which reports arrive that waited in a socket's buffer.
+	backlogTime = 200 * time.Millisecond
 	// forgetTime is the time without reports after which a source is removed.
 	forgetTime = time.Minute
 )
@@ -246,7 +248,7 @@
 		origin = originDirect
 	}
 	if charge := int32(row.Count + last.offset - known.progress); charge > 0 {
-		if known.at.Before(from.returnedAt) {
+		if known.at.Before(from.returnedAt) || now.Sub(from.returnedAt) < backlogTime {
 			a.chargeReturned(origin, float64(charge), from.silence, b)
 		} else {
 			a.charge(origin, float64(charge))
