--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -16,6 +16,7 @@
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/boottime"
 	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
@@ -98,6 +99,8 @@
 	vanished     map[string]time.Time
 	vanishedFrom *view.Snapshot
 	usageSentAt  time.Time
+	// uptime is a clock that includes suspensions, or nil.
+	uptime func() time.Duration
 
 	mu              sync.Mutex
 	topologyOf      *view.Snapshot
@@ -126,7 +129,9 @@
 		return nil, errors.Wrap(err, "peers")
 	}
 	self := view.Peer{Name: node.Name, Address: socket.LocalAddr().String(), FailureDomain: node.FailureDomain, LinkMbps: node.LinkMbps}
-	return newExchange(self, socket, v, e, keys, count, log), nil
+	exchange := newExchange(self, socket, v, e, keys, count, log)
+	exchange.uptime = boottime.Now
+	return exchange, nil
 }
 
 func newExchange(self view.Peer, socket packetConn, v *view.View, e *placement.Estimator, keys KeySink, count func(name string, n int64), log *slog.Logger) *Exchange {
--- a/internal/fleet/peers/quotas.go
+++ b/internal/fleet/peers/quotas.go
@@ -58,6 +58,9 @@
 		}
 	}
 	fleet := quota.Fleet{IsCurrent: e.view.IsCurrent(now)}
+	if e.uptime != nil {
+		fleet.Uptime = e.uptime()
+	}
 	if len(s.Peers) > 0 {
 		fleet.Listed = len(s.Peers) + len(e.vanished)
 		if _, isListed := e.topology().byName[e.self.Name]; !isListed && e.vanished[e.self.Name].IsZero() {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
 	"github.com/redwingstall/redwingstall/internal/traffic/pace"
 	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
+	"github.com/redwingstall/redwingstall/internal/traffic/quota"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
@@ -74,6 +75,7 @@
 	leader         *leader.Leader
 	exchange       *peers.Exchange
 	quarantine     *quarantine.Table
+	quotas         *quota.Limiter
 	callers        *callers.Server
 	adminServers   []*http.Server
 	background     sync.WaitGroup
@@ -108,6 +110,8 @@
 	}
 	g.exchange.ShareLimits(g.limiter)
 	g.exchange.ShareQuarantine(g.quarantine)
+	g.quotas = &quota.Limiter{Process: rand.Uint64(), Count: g.metrics.Count, Log: log}
+	g.exchange.ShareQuotas(g.quotas)
 	record, err := view.PeerRecord(g.exchange.Self())
 	if err != nil {
 		return nil, err
@@ -287,6 +291,7 @@
 	g.background.Go(func() { g.leader.Run(leaderCtx) })
 	g.background.Go(func() { g.exchange.Run(componentCtx) })
 	g.background.Go(func() { g.runSweeper(componentCtx) })
+	g.background.Go(func() { g.configureQuotas(componentCtx) })
 	g.background.Go(g.callers.Run)
 	g.log.Info("started", "front", g.node.FrontAddress, "failureDomain", g.node.FailureDomain)
 	<-ctx.Done()
@@ -360,6 +365,23 @@
 	}
 }
 
+// configureQuotas keeps the limits of client accounts those of the current configuration.
+func (g *Gateway) configureQuotas(ctx context.Context) {
+	var configured *redwingstall.Configuration
+	for {
+		s := g.view.Snapshot()
+		if s.Config != nil && s.Config != configured {
+			configured = s.Config
+			g.quotas.Configure(time.Now(), s.Config.Accounts)
+		}
+		select {
+		case <-s.Changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (g *Gateway) runSweeper(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -87,6 +87,8 @@
 	slot       int64
 	demandedAt time.Time
 	refusedAt  time.Time
+	// returnAt is when the client that was refused last was told to return.
+	returnAt time.Time
 
 	// sendsLeft is how many more reports of each scope name the account.
 	sendsLeft [scopes]atomic.Int32
@@ -296,15 +298,29 @@
 	}
 	d := decision{level: a.level, weight: a.weight(s), isOnset: a.refusedAt.IsZero() || now.Sub(a.refusedAt) > b.Window}
 	a.refusedAt = now
+	d.retryAfter = a.retryAfter(now, s, b, d.weight)
+	return d
+}
+
+// retryAfter returns when a refused client finds credit. Each one is told a later time, so that
+// not all return for the same credit.
+func (a *account) retryAfter(now time.Time, s standing, b Bounds, weight float64) time.Duration {
+	ownRate := a.rate * a.share * weight
+	if ownRate <= 0 {
+		return maxRetryAfter
+	}
 	rate, _ := a.pace(now, s, b)
-	wait := maxRetryAfter
-	if rate > 0 {
-		wait = time.Duration(min((1-a.tokens)/rate, maxRetryAfter.Seconds()) * float64(time.Second))
-	} else if a.rate*a.share > 0 {
-		wait = time.Duration(min(-a.level/(a.rate*a.share), maxRetryAfter.Seconds()) * float64(time.Second))
+	wait := max(-a.level, 0) / (a.rate * a.share)
+	wait += max(1-a.tokens, 0) / max(rate, ownRate)
+	earliest := now.Add(time.Duration(min(wait, maxRetryAfter.Seconds()) * float64(time.Second)))
+	a.returnAt = a.returnAt.Add(time.Duration(min(1/ownRate, maxRetryAfter.Seconds()) * float64(time.Second)))
+	if a.returnAt.Before(earliest) {
+		a.returnAt = earliest
 	}
-	d.retryAfter = max(wait, minRetryAfter)
-	return d
+	if latest := now.Add(maxRetryAfter); a.returnAt.After(latest) {
+		a.returnAt = latest
+	}
+	return max(a.returnAt.Sub(now), minRetryAfter)
 }
 
 // charge records n requests.
--- a/internal/traffic/quota/limiter.go
+++ b/internal/traffic/quota/limiter.go
@@ -69,6 +69,7 @@
 	// doubtedUntil, reports may be older than their arrival.
 	startedAt    time.Time
 	steppedAt    time.Time
+	uptime       time.Duration
 	doubtedUntil time.Time
 	// inTouchAt is when all instances were last in touch.
 	inTouchAt time.Time
--- a/internal/traffic/quota/usage.go
+++ b/internal/traffic/quota/usage.go
@@ -280,6 +280,8 @@
 	// Listed is the number of instances for which credit is set aside, this one included, or
 	// zero if it is not known.
 	Listed int
+	// Uptime is a clock that includes suspensions of the machine, or zero.
+	Uptime time.Duration
 	// IsCurrent is set if the list of instances is known to be current.
 	IsCurrent bool
 }
@@ -301,12 +303,13 @@
 	if l.startedAt.IsZero() {
 		l.startedAt, l.inTouchAt = now, now
 	}
-	if !l.steppedAt.IsZero() && now.Sub(l.steppedAt) > silenceTimeout {
+	gap := max(now.Sub(l.steppedAt), fleet.Uptime-l.uptime)
+	if !l.steppedAt.IsZero() && gap > silenceTimeout {
 		// The process was suspended. Reports that wait in the socket's buffer are old.
 		l.doubtedUntil = now.Add(silenceTimeout)
 		l.Count("quota.suspensions")
 	}
-	l.steppedAt = now
+	l.steppedAt, l.uptime = now, fleet.Uptime
 	l.countHeard(now)
 	next := &standing{listed: fleet.Listed, heard: l.heard[ScopeTotal], isFresh: l.isFresh[ScopeTotal], at: now}
 	if fleet.Listed == 0 {
