--- a/internal/fleet/peers/quotas_test.go
+++ b/internal/fleet/peers/quotas_test.go
@@ -73,8 +73,9 @@
 	process  uint64
 	loss     float64
 	group    map[netip.AddrPort]int
-	counts   map[string]int64
 	tick     int
+	// withLoad makes requests count as load, which the instances report anyway.
+	withLoad bool
 }
 
 func runQuotaFleet(t *testing.T, seed uint64, instances, domains int, usual []float64, test func(f *quotaFleet)) {
@@ -208,14 +209,25 @@
 		return
 	}
 	for range n {
-		if isAdmitted, _ := m.limiter.Admit(time.Now(), a.Name); isAdmitted {
-			a.admitted[f.tick]++
-		} else {
-			a.refused[f.tick]++
-		}
+		f.admit(a, m, f.tick)
 	}
 }
 
+func (f *quotaFleet) admit(a *quotaAccount, m *quotaMember, tick int) {
+	isAdmitted, _ := m.limiter.Admit(time.Now(), a.Name)
+	if !isAdmitted {
+		a.refused[tick]++
+		return
+	}
+	a.admitted[tick]++
+	if f.withLoad {
+		m.exchange.estimator.Begin(time.Now(), serverID(f.random.IntN(quotaServers)))
+	}
+}
+
+// quotaServers is the number of servers that requests go to.
+const quotaServers = 200
+
 // suspend suspends an instance, or continues it. Its clients' requests wait meanwhile.
 func (f *quotaFleet) suspend(i int, isSuspended bool) {
 	m := f.members[i]
@@ -226,11 +238,7 @@
 	for a, n := range m.waiting {
 		for range n {
 			// The requests are taken before the process reads any datagram.
-			if isAdmitted, _ := m.limiter.Admit(time.Now(), a.Name); isAdmitted {
-				a.admitted[f.tick-1]++
-			} else {
-				a.refused[f.tick-1]++
-			}
+			f.admit(a, m, f.tick-1)
 		}
 	}
 	m.waiting = map[*quotaAccount]int{}
@@ -472,3 +480,63 @@
 		}
 	}
 }
+
+// Guards against the bound of TestQuotasHoldOverAllInstances that holds whatever the instances
+// tell each other.
+func TestQuotasNeedTheExchange(t *testing.T) {
+	runQuotaFleet(t, 1, 58, 4, usualRates(), func(f *quotaFleet) {
+		for _, m := range f.members {
+			m.limiter = &quota.Limiter{Bounds: quotaBounds, Process: m.limiter.Process, Count: func(string) {}, Log: slog.New(slog.DiscardHandler)}
+			m.limiter.Configure(time.Now(), f.configuration()) // each instance counts for itself
+		}
+		f.run(5 * time.Second)
+		f.heat(hotFactor)
+		f.run(8 * time.Second)
+		used, at := f.worst()
+		require.Greater(t, used, 1.0, at)
+	})
+}
+
+// Guards against datagrams with usage that are read wrongly, and broken ones that end the process.
+func TestUsageIsReadAsWritten(t *testing.T) {
+	usage := quota.Usage{Process: 1 << 60, Sequence: 7, Heard: 58, IsFresh: true, Rows: []quota.Row{{Account: 1, Count: 2, Recent: 3, Demand: 4.5, Active: 6}, {Account: 1 << 31, Count: 1 << 31}}}
+	encoded := prependUsage(&usage, []byte("rest"))
+	decoded, rest, err := splitUsage(encoded)
+	require.NoError(t, err)
+	require.Equal(t, usage, *decoded)
+	require.Equal(t, "rest", string(rest))
+	for n := 1; n < len(encoded)-len("rest"); n++ {
+		_, _, err := splitUsage(encoded[:n])
+		require.ErrorIs(t, err, errInvalidUsage)
+	}
+	decoded, rest, err = splitUsage(prependUsage(nil, []byte{0x88}))
+	require.NoError(t, err)
+	require.Nil(t, decoded)
+	require.Equal(t, []byte{0x88}, rest)
+}
+
+// Guards against quotas that cost datagrams of their own where the instances exchange load anyway.
+func TestQuotasCostNoDatagrams(t *testing.T) {
+	for _, size := range []struct{ instances, domains int }{{58, 4}, {295, 6}} {
+		sent, bytes := [2]int{}, [2]int{}
+		for n := range 2 {
+			runQuotaFleet(t, 1, size.instances, size.domains, usualRates(), func(f *quotaFleet) {
+				f.withLoad = true
+				if n == 0 {
+					for _, m := range f.members {
+						m.limiter.Configure(time.Now(), nil)
+					}
+				}
+				f.run(5 * time.Second)
+				for _, m := range f.members {
+					s, _, b := m.socket.counts()
+					sent[n], bytes[n] = sent[n]+s, bytes[n]+b
+				}
+			})
+		}
+		perSecond := float64(size.instances) * 5
+		t.Logf("%d instances: %.1f datagrams sent a second and instance without quotas, %.1f with; %.0f and %.0f bytes", size.instances,
+			float64(sent[0])/perSecond, float64(sent[1])/perSecond, float64(bytes[0])/perSecond, float64(bytes[1])/perSecond)
+		require.LessOrEqual(t, float64(sent[1]), 1.02*float64(sent[0]))
+	}
+}
