--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -23,7 +23,7 @@
 	priorShare = 0.2
 	// levelShare is the part of a positive level that all instances may spend within
 	// reactionTime. The rest makes up for what they do not know of each other.
-	levelShare = 0.5
+	levelShare = 0.4
 	// maxDebtTime is how long the instances that stay in touch repay, at most, when others get
 	// out of touch.
 	maxDebtTime = 2 * time.Second
@@ -68,6 +68,8 @@
 	// were some last.
 	reserve      float64
 	outOfTouchAt time.Time
+	// freshWeight is the weight while no instance was silent.
+	freshWeight float64
 	// tokens are what this instance may spend before others know of it.
 	tokens float64
 	// counts are the admitted requests of this instance, of those that report to it and of
@@ -240,6 +242,12 @@
 		return 0, max(a.tokens, minTokens)
 	}
 	weight := a.weight(s)
+	if s.isFresh {
+		a.freshWeight = weight
+	} else {
+		// Without reports, the demand of the others seems to fall.
+		weight = min(weight, a.freshWeight)
+	}
 	rate = weight * total
 	headroom := ((a.rate*b.Window.Seconds()+a.burst)*(1+b.Overrun)+b.Slack)*a.share - a.spentSum
 	divided := headroom * (weightedHeadroom*weight + equalHeadroom/float64(s.heard))
@@ -275,11 +283,11 @@
 // The parts of what is left in the window that the instances may hold as tokens: by their
 // demand, equally, and equally among those with recent requests of the account.
 const (
-	weightedHeadroom = 0.3
+	weightedHeadroom = 0.25
 	equalHeadroom    = 0.2
 	activeHeadroom   = 0.25
 	// silentHeadroom reduces them while an instance is silent, which may be out of touch.
-	silentHeadroom = 0.3
+	silentHeadroom = 0.1
 )
 
 // isFirst selects the given part of the instances, others for each account.
