--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -230,7 +230,7 @@
 
 // pace returns the rate at which this instance gets tokens, and how many it may hold.
 func (a *account) pace(now time.Time, s standing, b Bounds) (rate, capacity float64) {
-	spendable := a.level
+	spendable := a.credit(b)
 	if spendable > 0 {
 		spendable *= levelShare
 		if !s.isFresh {
@@ -276,10 +276,17 @@
 // Requests that arrive at random seldom exceed that.
 const (
 	assumedDemand = 3.0
-	calmTokens    = 4.0
-	calmRate      = 4.0
+	calmTokens    = 6.0
+	calmRate      = 6.0
 )
 
+// slackShare is the part of the platform's slack that accounts may use beyond their bursts. It
+// matters to accounts with a few requests a second.
+const slackShare = 0.3
+
+// credit is the level with what may be overdrawn.
+func (a *account) credit(b Bounds) float64 { return a.level + slackShare*b.Slack*a.share }
+
 // The parts of what is left in the window that the instances may hold as tokens: by their
 // demand, equally, and equally among those with recent requests of the account.
 const (
@@ -299,7 +306,7 @@
 	a.advance(now, s, b)
 	a.demand[originOwn]++
 	a.demandedAt = now
-	if a.tokens >= 1 && a.level > -a.rate*a.share*reactionTime.Seconds() {
+	if a.tokens >= 1 && a.credit(b) > -a.rate*a.share*reactionTime.Seconds() {
 		a.tokens--
 		a.charge(originOwn, 1)
 		return decision{isAdmitted: true}
@@ -318,7 +325,7 @@
 		return maxRetryAfter
 	}
 	rate, _ := a.pace(now, s, b)
-	wait := max(-a.level, 0) / (a.rate * a.share)
+	wait := max(-a.credit(b), 0) / (a.rate * a.share)
 	wait += max(1-a.tokens, 0) / max(rate, ownRate)
 	earliest := now.Add(time.Duration(min(wait, maxRetryAfter.Seconds()) * float64(time.Second)))
 	a.returnAt = a.returnAt.Add(time.Duration(min(1/ownRate, maxRetryAfter.Seconds()) * float64(time.Second)))
