--- a/internal/fleet/peers/quotas_test.go
+++ b/internal/fleet/peers/quotas_test.go
@@ -316,6 +316,16 @@
 	}
 }
 
+// spread sends the requests of each account to all instances alike.
+func (f *quotaFleet) spread() {
+	for _, a := range f.accounts {
+		a.clients = nil
+		for i := range f.members {
+			a.clients = append(a.clients, quotaClient{i, 1 / float64(len(f.members))})
+		}
+	}
+}
+
 // quotaScenario is a course of events after the fleet has run for a while.
 type quotaScenario struct {
 	name string
@@ -358,14 +368,16 @@
 			f.run(12 * time.Second)
 		}},
 		{"hotAtAllInstances", 0.01, func(f *quotaFleet) {
+			f.spread()
+			f.run(2 * time.Second)
 			f.heat(hotFactor)
-			for _, a := range f.accounts {
-				a.clients = nil
-				for i := range f.members {
-					a.clients = append(a.clients, quotaClient{i, 1 / float64(len(f.members))})
-				}
-			}
-			f.run(12 * time.Second)
+			f.run(10 * time.Second)
+		}},
+		{"floodAtAllInstances", 0.01, func(f *quotaFleet) {
+			f.spread()
+			f.run(2 * time.Second)
+			f.heat(30)
+			f.run(8 * time.Second)
 		}},
 		{"someLosses", oneInThousand, func(f *quotaFleet) {
 			f.loss = 0.03
--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -255,13 +255,18 @@
 		divided *= silentHeadroom
 	}
 	capacity = max(rate*reactionTime.Seconds(), divided)
+	isActive := now.Sub(a.demandedAt) < memoryTime
+	sharing := float64(s.heard)
+	if isActive {
+		sharing = float64(1 + a.active[originDirect] + a.active[originFar])
+	}
 	switch {
 	case s.isFresh && headroom >= assumedDemand*a.rate*a.share:
-		rate, capacity = max(rate, calmRate), max(capacity, calmTokens)
-	case now.Sub(a.demandedAt) < memoryTime:
-		active := float64(1 + a.active[originDirect] + a.active[originFar])
-		capacity = max(capacity, minTokens, min(activeHeadroom*headroom/active, calmTokens))
-	case a.isFirst(headroom / float64(s.heard)):
+		tokens := min(max(calmHeadroom*headroom/sharing, minCalmTokens), maxCalmTokens)
+		rate, capacity = max(rate, tokens/calmTime.Seconds()), max(capacity, tokens)
+	case isActive:
+		capacity = max(capacity, minTokens, min(activeHeadroom*headroom/sharing, maxCalmTokens))
+	case a.isFirst(headroom / sharing):
 		capacity = max(capacity, minTokens)
 	}
 	if headroom < minTokens && a.isFirst(headroom) {
@@ -272,12 +277,15 @@
 
 // An account that leaves assumedDemand times its limit of a window needs no exact division among
 // the instances: no account is taken to send more within reactionTime, which is nine times its
-// usual load. Each instance then has calmTokens, and gets calmRate of them a second.
-// Requests that arrive at random seldom exceed that.
+// usual load. Each instance then has a few tokens, and gets as many in calmTime. Requests that
+// arrive at random seldom exceed that. calmHeadroom bounds, in times of what is left, the sum over
+// the instances with recent requests of the account.
 const (
 	assumedDemand = 3.0
-	calmTokens    = 6.0
-	calmRate      = 6.0
+	calmHeadroom  = 1.5
+	minCalmTokens = 2.0
+	maxCalmTokens = 6.0
+	calmTime      = time.Second
 )
 
 // slackShare is the part of the platform's slack that accounts may use beyond their bursts. It
