Send usage with each report, and clear the window before it is used

An instance with load but without requests of limited accounts counts as in touch by its load reports.

--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -228,8 +228,10 @@
 	if t.hasLeader && len(keys) > 0 && !t.receivesKeys(t.leader) {
 		e.send(datagram{From: e.self.Name, Keys: keys}, []view.Peer{t.leader})
 	}
-	reports, usage := e.estimator.Reports(now), e.ownUsage(now)
-	if len(t.near) > 0 && (len(reports)+len(keys) > 0 || usage != nil) {
+	reports := e.estimator.Reports(now)
+	usage, isDue := e.ownUsage(now)
+	if len(t.near) > 0 && (len(reports)+len(keys) > 0 || isDue) {
+		e.usageSentAt = now
 		e.sendReports(datagram{From: e.self.Name, Keys: keys, usage: usage}, reports, maxLoadsPerDatagram, t.near)
 	}
 }
@@ -245,14 +247,18 @@
 		e.domainKeys.add(keys)
 		keys = nil
 	}
-	reports, usage := e.estimator.Reports(now), e.ownUsage(now)
+	reports := e.estimator.Reports(now)
+	usage, isDue := e.ownUsage(now)
+	if len(reports) > 0 || isDue {
+		e.usageSentAt = now
+	}
 	e.reportCount++
 	for i, reporter := range t.reporters {
 		message := datagram{From: e.self.Name, usage: usage}
 		if i == e.reportCount%len(t.reporters) {
 			message.Keys = keys
 		}
-		if len(reports)+len(message.Keys) > 0 || usage != nil {
+		if len(reports)+len(message.Keys) > 0 || isDue {
 			e.sendReports(message, reports, maxLoadsPerDatagram, []view.Peer{reporter})
 		}
 	}
--- a/internal/fleet/peers/quotas.go
+++ b/internal/fleet/peers/quotas.go
@@ -98,15 +98,11 @@
 	return &usage
 }
 
-// ownUsage returns the usage at this instance if it changed, or if it is time to report that the
-// instance runs.
-func (e *Exchange) ownUsage(now time.Time) *quota.Usage {
-	usage := e.usage(now, quota.ScopeOwn, maxUsageRows)
-	if usage == nil || len(usage.Rows) == 0 && now.Sub(e.usageSentAt) < usageInterval-timerTolerance {
-		return nil
-	}
-	e.usageSentAt = now
-	return usage
+// ownUsage returns the usage at this instance, and whether it must be sent although the instance
+// has no load to report: it changed, or it is time to report that the instance runs.
+func (e *Exchange) ownUsage(now time.Time) (usage *quota.Usage, isDue bool) {
+	usage = e.usage(now, quota.ScopeOwn, maxUsageRows)
+	return usage, usage != nil && (len(usage.Rows) > 0 || now.Sub(e.usageSentAt) >= usageInterval-timerTolerance)
 }
 
 // mergeUsage charges the usage that a datagram reports.
--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -39,8 +39,6 @@
 	// slotsPerWindow is the resolution of the sum over the last window. The current part
 	// comes on top, so that the sum is never too small.
 	slotsPerWindow = 20
-	// slotsPerSilence cover silenceTimeout in a window of 5 s.
-	slotsPerSilence = 4
 	// nearlyFull is the part of a bucket from which it counts as full.
 	nearlyFull = 0.95
 	// minStay bounds the factor by which an instance on its own estimates the others.
@@ -49,9 +47,10 @@
 
 // account is the state of one account at this instance.
 type account struct {
-	id    uint32
-	name  string
-	label string
+	id        uint32
+	createdAt time.Time
+	name      string
+	label     string
 	// rank orders the instances at random, from 0 to 1.
 	rank float64
 
@@ -120,9 +119,8 @@
 	defer a.mu.Unlock()
 	if a.at.IsZero() {
 		a.setLimit(configured)
-		a.at, a.markedAt, a.share = now, now, s.share()
+		a.createdAt, a.at, a.markedAt, a.share = now, now, now, s.share()
 		a.level = a.burst * a.share
-		a.slot = slotOf(now, b)
 		_, capacity := a.pace(now, s, b)
 		a.tokens = min(capacity, minTokens)
 		return
@@ -144,13 +142,17 @@
 	return math.Exp(-max(elapsed, 0).Seconds() / a.demandTime.Seconds())
 }
 
-func slotOf(now time.Time, b Bounds) int64 {
-	return now.UnixNano() / (b.Window.Nanoseconds() / slotsPerWindow)
+// slotOf numbers the parts of windows since the account is known, in monotonic time.
+func (a *account) slotOf(now time.Time, b Bounds) int64 {
+	return int64(now.Sub(a.createdAt) / slotTime(b))
 }
 
+func slotTime(b Bounds) time.Duration { return max(b.Window/slotsPerWindow, 1) }
+
 // advance computes the state at now. Times that go back change nothing.
 func (a *account) advance(now time.Time, s standing, b Bounds) {
-	a.setShare(s.share())
+	a.clearSlots(a.slotOf(now, b))
+	a.setShare(s.share(), b)
 	elapsed := now.Sub(a.at)
 	if elapsed <= 0 {
 		return
@@ -169,7 +171,6 @@
 	}
 	rate, capacity := a.pace(now, s, b)
 	a.tokens = min(a.tokens+rate*elapsed.Seconds(), max(capacity, 0))
-	a.clearSlots(slotOf(now, b))
 	if now.Sub(a.markedAt) >= markInterval {
 		a.marks, a.nextMarks, a.markedAt = a.nextMarks, a.counts, now
 	}
@@ -177,11 +178,11 @@
 
 // setShare adopts the part of the limit that belongs to the instances in touch. Those that are
 // out of touch are taken to have spent as much as these since their last report, in proportion.
-func (a *account) setShare(share float64) {
+func (a *account) setShare(share float64, b Bounds) {
 	if share < a.share && a.share > 0 {
 		stay := share / a.share
 		full, refill := a.burst*a.share, a.rate*a.share*silenceTimeout.Seconds()
-		seen := a.spentLately()
+		seen := a.spentLately(b)
 		unseen := seen * (1 - stay) / max(stay, minStay)
 		if a.level >= nearlyFull*full {
 			unseen = max(unseen-max(refill-seen, 0), 0) // a full bucket got no refill for what was not known
@@ -202,9 +203,9 @@
 }
 
 // spentLately returns what was spent within silenceTimeout, at least.
-func (a *account) spentLately() float64 {
+func (a *account) spentLately(b Bounds) float64 {
 	sum := 0.0
-	for n := range slotsPerSilence + 1 {
+	for n := range min(int(silenceTimeout/slotTime(b))+1, len(a.spent)) {
 		sum += a.spent[(a.slot+int64(len(a.spent)-n))%int64(len(a.spent))]
 	}
 	return sum
