--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -21,6 +21,7 @@
 	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/traffic/quarantine"
+	"github.com/redwingstall/redwingstall/internal/traffic/quota"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
 
@@ -94,6 +95,14 @@
 	metAt                time.Time
 	quarantineComparedAt time.Time
 
+	// quotas are the limits of client accounts, if they are shared. The rest belongs to Run.
+	quotas       *quota.Limiter
+	vanished     map[string]time.Time
+	vanishedFrom *view.Snapshot
+	usageSentAt  time.Time
+	// uptime is a clock that includes suspensions, or nil.
+	uptime func() time.Duration
+
 	mu              sync.Mutex
 	topologyOf      *view.Snapshot
 	currentTopology *topology
@@ -131,7 +140,9 @@
 		return nil, errors.Wrap(err, "peers")
 	}
 	self := view.Peer{Name: node.Name, Address: socket.LocalAddr().String(), FailureDomain: node.FailureDomain, LinkMbps: node.LinkMbps}
-	return newExchange(self, socket, v, e, keys, count, log), nil
+	exchange := newExchange(self, socket, v, e, keys, count, log)
+	exchange.uptime = boottime.Now
+	return exchange, nil
 }
 
 func newExchange(self view.Peer, socket packetConn, v *view.View, e *placement.Estimator, keys KeySink, count func(name string, n int64), log *slog.Logger) *Exchange {
@@ -171,6 +182,9 @@
 			e.broadcastQuarantine(now, t)
 			e.compareQuarantine(now, t)
 		}
+		if e.quotas != nil {
+			e.stepQuotas(now)
+		}
 		if t.hasSums {
 			e.sendToReporters(now, t)
 		} else {
@@ -227,8 +241,10 @@
 		e.send(datagram{From: e.self.Name, Keys: keys}, []view.Peer{t.leader})
 	}
 	reports := e.estimator.Reports(now)
-	if len(t.near) > 0 && len(reports)+len(keys) > 0 {
-		e.sendReports(datagram{From: e.self.Name, Keys: keys}, reports, maxLoadsPerDatagram, t.near)
+	usage, isDue := e.ownUsage(now)
+	if len(t.near) > 0 && (len(reports)+len(keys) > 0 || isDue) {
+		e.usageSentAt = now
+		e.sendReports(datagram{From: e.self.Name, Keys: keys, usage: usage}, reports, maxLoadsPerDatagram, t.near)
 	}
 }
 
@@ -244,13 +260,17 @@
 		keys = nil
 	}
 	reports := e.estimator.Reports(now)
+	usage, isDue := e.ownUsage(now)
+	if len(reports) > 0 || isDue {
+		e.usageSentAt = now
+	}
 	e.reportCount++
 	for i, reporter := range t.reporters {
-		message := datagram{From: e.self.Name}
+		message := datagram{From: e.self.Name, usage: usage}
 		if i == e.reportCount%len(t.reporters) {
 			message.Keys = keys
 		}
-		if len(reports)+len(message.Keys) > 0 {
+		if len(reports)+len(message.Keys) > 0 || isDue {
 			e.sendReports(message, reports, maxLoadsPerDatagram, []view.Peer{reporter})
 		}
 	}
@@ -266,6 +286,7 @@
 		message.Keys = keys
 	}
 	if len(t.counterparts) > 0 {
+		message.usage = e.usage(now, quota.ScopeDomain, maxSumUsageRows)
 		e.sendReports(message, e.estimator.DomainReports(now), maxSumsPerDatagram, t.counterparts)
 	}
 	if !t.hasSums {
@@ -274,7 +295,8 @@
 	if t.hasLeader && len(keys) > 0 {
 		e.send(datagram{From: e.self.Name, Domain: e.self.FailureDomain, Keys: keys}, []view.Peer{t.leader})
 	}
-	e.sendReports(datagram{From: e.self.Name, IsTotal: true}, sortedByShortID(e.estimator.TotalReports(now)), maxSumsPerDatagram, t.members)
+	total := datagram{From: e.self.Name, IsTotal: true, usage: e.usage(now, quota.ScopeTotal, maxSumUsageRows)}
+	e.sendReports(total, sortedByShortID(e.estimator.TotalReports(now)), maxSumsPerDatagram, t.members)
 }
 
 // sendReports splits reports into as many datagrams as needed. The first one carries
@@ -285,7 +307,7 @@
 		message.Loads = encodeReports(reports[:n])
 		e.send(message, peers)
 		reports = reports[n:]
-		message.Keys = nil
+		message.Keys, message.usage = nil, nil
 	}
 }
 
@@ -295,7 +317,7 @@
 		e.log.Error("datagram encoding failed", "error", err.Error())
 		return
 	}
-	e.writeDatagram(encoded, peers)
+	e.writeDatagram(prependUsage(message.usage, encoded), peers)
 }
 
 // writeDatagram sends a datagram to peers. Send errors are ignored, as losses are: the
