Use shorter leases and grants with the feature KeyRecovery

The keys of a server that ends wait for its last grant: 6.2 s from its sending with grants of 5 s. With KeyRecovery the leader's lease lasts 1.5 s and grants 3 s, renewed every 500 ms; from 250 ranges on the interval grows, and the grants up to 4.5 s, so that a leader makes at most about 650 calls a second. Grants in an outage of the store last 7.5 s, since a shorter lease ends sooner.

The map says how long its leader's lease, the longest grant and the time of earlier leaders are, so that leaders with other settings wait for the right times. In the search for two owners each term uses one of both timings.

--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -18,9 +18,17 @@
 	// OutageGrantTTL is that of grants which are sent while the leader's lease cannot be
 	// renewed. They last until the store is back and has a leader. Zero means GrantTTL.
 	OutageGrantTTL time.Duration
-	// LeaderLeaseTTL is the time to live of the leader's lease. A previous leader may
-	// send grants for that long.
+	// LeaderLeaseTTL is the time to live of the leader's lease. A leader may send grants
+	// for that long after it was replaced.
 	LeaderLeaseTTL time.Duration
+	// MaxLeaderLeaseTTL and MaxGrantTTL are the longest times to live that a leader with
+	// any settings uses. Zero means those of this leader.
+	MaxLeaderLeaseTTL time.Duration
+	MaxGrantTTL       time.Duration
+	// MaxRenewalsPerSecond is set if grants are to be as short as the number of ranges
+	// allows: GrantTTL grows up to LongCalmGrantTTL so that no more renewals are due.
+	MaxRenewalsPerSecond float64
+	LongCalmGrantTTL     time.Duration
 	// GrantTimeout is when the connection of an unanswered grant is reset.
 	GrantTimeout time.Duration
 }
@@ -35,6 +43,11 @@
 	// renewalsPerTTL is how often a grant is renewed within its time to live. It leaves
 	// time for two lost renewals and a change of leader.
 	renewalsPerTTL = 4
+	// shortGrantReserve is what a short grant lasts after two renewal intervals: a lease of
+	// 1.5 s, and the time in which the next leader takes over and sends its first grants.
+	shortGrantReserve = 2 * time.Second
+	// minRenewalsPerTTL bounds the renewal interval of grants that are shorter than that.
+	minRenewalsPerTTL = 6
 	// grantRetryDelay is the delay before an unanswered grant is retried.
 	grantRetryDelay = 150 * time.Millisecond
 	// releaseRetryDelay is the delay before an unanswered release is retried for the first
@@ -158,6 +171,8 @@
 	// Until then no keys are assigned: a server that restarted under its ID has
 	// forgotten what it released, and would accept a late grant of the previous leader.
 	predecessorDoneAt time.Duration
+	// longestGrantTTL is that of the longest grant of this leader or an earlier one.
+	longestGrantTTL time.Duration
 	// candidateCount is the number of candidates for the first division. It has been the
 	// same since candidateCountSince.
 	candidateCount      int
@@ -175,13 +190,15 @@
 		fencedOff:      map[commandKey]bool{},
 		moveTargets:    map[int64]string{},
 	}
-	wait := timing.LeaderLeaseTTL + timing.GrantTimeout
+	lease, longest := timing.predecessorTTLs(stored)
+	wait := max(lease+timing.GrantTimeout, withDrift(stored.PredecessorsWithin))
 	if stored.IsResigned || len(stored.Ranges) == 0 {
 		wait = 0
 	}
 	a.predecessorDoneAt = now + wait
+	a.longestGrantTTL = max(longest, timing.longestGrantTTL())
 	for _, r := range stored.Ranges {
-		a.grantsExpireAt[r.Owner.ID] = a.predecessorDoneAt + a.timing.maxGrantLifetime(a.timing.longestGrantTTL())
+		a.grantsExpireAt[r.Owner.ID] = a.predecessorDoneAt + a.timing.maxGrantLifetime(longest)
 	}
 	a.Adopt(stored)
 	observed := ReleaseHistory{}
@@ -191,20 +208,61 @@
 	return a
 }
 
+// predecessorTTLs returns the times to live of the lease of the leader that wrote a map, and
+// of the longest grant that it or an earlier one may have sent.
+func (t Timing) predecessorTTLs(stored shardmap.Map) (lease, longestGrant time.Duration) {
+	lease, longestGrant = stored.LeaderLease, stored.LongestGrant
+	if lease == 0 {
+		lease = t.maxLeaderLeaseTTL()
+	}
+	if longestGrant == 0 {
+		longestGrant = t.maxGrantTTL()
+	}
+	return lease, longestGrant
+}
+
+func (t Timing) maxLeaderLeaseTTL() time.Duration { return max(t.MaxLeaderLeaseTTL, t.LeaderLeaseTTL) }
+
+func (t Timing) maxGrantTTL() time.Duration { return max(t.MaxGrantTTL, t.longestGrantTTL()) }
+
+// withDrift returns how long a duration on the clock of another instance may take on this one.
+func withDrift(duration time.Duration) time.Duration {
+	return duration + time.Duration(float64(duration)*maxClockDrift)
+}
+
 // maxGrantLifetime is the maximum time between sending a grant and its expiry.
 func (t Timing) maxGrantLifetime(ttl time.Duration) time.Duration {
 	drift := time.Duration(float64(ttl) * maxClockDrift)
 	return t.GrantTimeout + ttl + drift + grantExpiryMargin
 }
 
-func (t Timing) longestGrantTTL() time.Duration { return max(t.GrantTTL, t.OutageGrantTTL) }
+func (t Timing) longestGrantTTL() time.Duration {
+	return max(t.GrantTTL, t.LongCalmGrantTTL, t.OutageGrantTTL)
+}
 
-// grantTTL returns the time to live of the grants that are sent now.
-func (t Timing) grantTTL(cluster ClusterState) time.Duration {
-	if cluster.IsStoreUnavailable {
+// grantTTL returns the time to live of the grants that are sent now, for a number of ranges.
+func (t Timing) grantTTL(cluster ClusterState, ranges int) time.Duration {
+	switch {
+	case cluster.IsStoreUnavailable:
 		return t.longestGrantTTL()
+	case t.MaxRenewalsPerSecond == 0:
+		return t.GrantTTL
 	}
-	return t.GrantTTL
+	interval := time.Duration(float64(ranges) / t.MaxRenewalsPerSecond * float64(time.Second))
+	return min(max(t.GrantTTL, 2*interval+shortGrantReserve), t.LongCalmGrantTTL)
+}
+
+// renewalInterval returns when a grant is renewed after it was sent.
+func (t Timing) renewalInterval(ttl time.Duration) time.Duration {
+	if t.MaxRenewalsPerSecond == 0 {
+		return ttl / renewalsPerTTL
+	}
+	return max((ttl-shortGrantReserve)/2, ttl/minRenewalsPerTTL)
+}
+
+// ContinueUnder goes on under another lease of the same leader.
+func (a *Assigner) ContinueUnder(leaseTTL time.Duration) {
+	a.timing.LeaderLeaseTTL = max(a.timing.LeaderLeaseTTL, leaseTTL)
 }
 
 // Map returns the map as stored.
@@ -253,6 +311,7 @@
 // caller must pass the result of each to RecordResult.
 func (a *Assigner) DueCommands(now time.Duration, cluster ClusterState, addresses map[string]string) []Command {
 	due := []Command{}
+	grantTTL := a.timing.grantTTL(cluster, len(a.stored.Ranges))
 	for _, r := range a.commandRanges() {
 		address := addresses[r.Owner.ID]
 		if address == "" || r.State == shardmap.StateReleased {
@@ -260,7 +319,7 @@
 		}
 		c := a.command(r, address)
 		p := a.progressOf(c.key())
-		if p.isInFlight || !a.isDue(now, c, p, cluster) {
+		if p.isInFlight || !a.isDue(now, c, p, cluster, grantTTL) {
 			continue
 		}
 		p.isInFlight = true
@@ -268,7 +327,7 @@
 		p.owner = r.Owner.ID
 		p.address, p.process = address, cluster.Servers[r.Owner.ID].Server
 		if c.Kind == CommandGrant {
-			c.GrantTTL = a.timing.grantTTL(cluster)
+			c.GrantTTL = grantTTL
 			p.grantTTL = c.GrantTTL
 		}
 		due = append(due, c)
@@ -276,7 +335,7 @@
 	return due
 }
 
-func (a *Assigner) isDue(now time.Duration, c Command, p *commandProgress, cluster ClusterState) bool {
+func (a *Assigner) isDue(now time.Duration, c Command, p *commandProgress, cluster ClusterState, grantTTL time.Duration) bool {
 	if c.Kind == CommandRelease {
 		return p.isReleaseDue(now, c.Address, cluster.Servers[c.Owner.ID].Server)
 	}
@@ -287,7 +346,8 @@
 	if p.unanswered > 0 {
 		return now-p.endedAt >= grantRetryDelay
 	}
-	return !p.isAnswered || p.grantTTL < a.timing.grantTTL(cluster) || now-p.sentAt >= p.grantTTL/renewalsPerTTL
+	isOutage := cluster.IsStoreUnavailable && p.grantTTL < grantTTL
+	return !p.isAnswered || isOutage || now-p.sentAt >= a.timing.renewalInterval(p.grantTTL)
 }
 
 // isReleaseDue reports whether a release that is not in flight is to be sent to a server as it
@@ -368,6 +428,7 @@
 			return draft, false
 		}
 		draft.Divide(servers)
+		a.SetEnds(now, &draft)
 		return draft, true
 	}
 	changed := a.startReleases(now, &draft, cluster)
@@ -378,7 +439,7 @@
 	if changed {
 		a.compact(&draft)
 	}
-	a.SetReleaseEnds(now, &draft)
+	a.SetEnds(now, &draft)
 	return draft, changed
 }
 
--- a/internal/ownership/assign/recovery.go
+++ b/internal/ownership/assign/recovery.go
@@ -42,9 +42,9 @@
 // before eraBeganAt. With knowsHolders, the addresses passed to DueCommands include each
 // server to which they may have granted keys.
 func NewRecovery(eraBeganAt time.Duration, timing Timing, last shardmap.Map, knowsHolders bool) *Recovery {
-	releaseFrom := eraBeganAt + timing.LeaderLeaseTTL + timing.GrantTimeout
+	releaseFrom := eraBeganAt + timing.maxLeaderLeaseTTL() + timing.GrantTimeout
 	return &Recovery{
-		timing: timing, last: last.Clone(), releaseFrom: releaseFrom, expiredAt: releaseFrom + timing.maxGrantLifetime(timing.longestGrantTTL()),
+		timing: timing, last: last.Clone(), releaseFrom: releaseFrom, expiredAt: releaseFrom + timing.maxGrantLifetime(timing.maxGrantTTL()),
 		knowsHolders: knowsHolders, holders: map[string]*possibleHolder{},
 	}
 }
@@ -52,7 +52,7 @@
 // HolderMemory is how long a server may hold keys after an earlier leader last had it
 // listed. An instance that has known all servers for that long knows all holders.
 func (t Timing) HolderMemory() time.Duration {
-	return t.LeaderLeaseTTL + t.GrantTimeout + t.maxGrantLifetime(t.longestGrantTTL())
+	return t.maxLeaderLeaseTTL() + t.GrantTimeout + t.maxGrantLifetime(t.maxGrantTTL())
 }
 
 // DueCommands returns the releases to be sent at once, and marks them as in flight. The
--- a/internal/ownership/assign/release.go
+++ b/internal/ownership/assign/release.go
@@ -28,8 +28,7 @@
 			continue
 		}
 		// The writer and the reader count by clocks of their own.
-		within := r.GrantsEndWithin + time.Duration(float64(r.GrantsEndWithin)*maxClockDrift)
-		end := now + within
+		end := now + withDrift(r.GrantsEndWithin)
 		if known, found := h.ends[r.Fence]; found {
 			end = min(end, known)
 		}
@@ -68,9 +67,12 @@
 	return a.lastGrantExpiry(r.Owner.ID)
 }
 
-// SetReleaseEnds sets how long the grants of each range that is being released may last from
-// now. It must be called before the write of the map begins.
-func (a *Assigner) SetReleaseEnds(now time.Duration, draft *shardmap.Map) {
+// SetEnds sets how long the grants of each range that is being released may last from now, and
+// how long this leader and earlier ones may send grants. It must be called before the write of
+// the map begins.
+func (a *Assigner) SetEnds(now time.Duration, draft *shardmap.Map) {
+	draft.LeaderLease, draft.LongestGrant = a.timing.LeaderLeaseTTL, a.longestGrantTTL
+	draft.PredecessorsWithin = max(a.predecessorDoneAt-now, 0)
 	for i := range draft.Ranges {
 		if r := &draft.Ranges[i]; r.State == shardmap.StateReleasing {
 			r.GrantsEndWithin = max(a.releaseEnd(*r)-now, time.Millisecond).Truncate(time.Millisecond) + time.Millisecond
--- a/internal/ownership/assign/release_test.go
+++ b/internal/ownership/assign/release_test.go
@@ -65,7 +65,7 @@
 		require.NoError(t, err)
 		leader = NewAssigner(b.now, simulationTiming, m)
 		leader.RecallReleases(follower)
-		leader.SetReleaseEnds(b.now, &m)
+		leader.SetEnds(b.now, &m)
 		leader.Adopt(m)
 		b.lead(leader, b.now+1500*time.Millisecond)
 	}
@@ -109,6 +109,33 @@
 	require.GreaterOrEqual(t, b.lead(NewAssigner(b.now, simulationTiming, m), time.Minute), began+simulationTiming.HolderMemory())
 }
 
+// Guards against a successor with short leases and grants that takes its predecessor's, or those
+// of an earlier leader which may still run, for as short.
+func TestSuccessorWaitsByTheTimesOfEarlierLeaders(t *testing.T) {
+	b := newReleaseBed()
+	b.end()
+	began := b.now
+	next := NewAssigner(b.now, fastTiming, b.leader.Map())
+	require.Equal(t, began+simulationTiming.LeaderLeaseTTL+simulationTiming.GrantTimeout, next.predecessorDoneAt)
+	m := next.Map().Clone()
+	next.SetEnds(b.now, &m)
+	second := NewAssigner(b.now+time.Second, fastTiming, m)
+	require.GreaterOrEqual(t, second.predecessorDoneAt, next.predecessorDoneAt)
+	require.GreaterOrEqual(t, b.lead(second, time.Minute), began+simulationTiming.HolderMemory()-time.Second)
+}
+
+// Guards against more calls of the leader than it can make, and against grants that end before
+// the next leader renews them.
+func TestShortGrantsGrowWithTheNumberOfRanges(t *testing.T) {
+	for ranges, want := range map[int]time.Duration{1: 3 * time.Second, 234: 3 * time.Second, 500: 4 * time.Second, 810: 4500 * time.Millisecond} {
+		ttl := fastTiming.grantTTL(ClusterState{}, ranges)
+		require.Equal(t, want, ttl, "%d ranges", ranges)
+		interval := fastTiming.renewalInterval(ttl)
+		require.LessOrEqual(t, float64(ranges)/interval.Seconds(), 650.0, "calls per second")
+		require.GreaterOrEqual(t, ttl-interval, fastTiming.LeaderLeaseTTL+500*time.Millisecond, "change of leader")
+	}
+}
+
 // Guards against a mark of resignation that outlasts the takeover: the next leader's maps would
 // let its own successor not wait for it.
 func TestSuccessorRemovesTheMarkOfResignation(t *testing.T) {
--- a/internal/ownership/assign/simulation_test.go
+++ b/internal/ownership/assign/simulation_test.go
@@ -30,7 +30,17 @@
 	simulatedTime  = 60 * time.Second
 )
 
-var simulationTiming = Timing{GrantTTL: 5 * time.Second, OutageGrantTTL: 7 * time.Second, LeaderLeaseTTL: 3 * time.Second, GrantTimeout: 700 * time.Millisecond}
+// Leaders use one of two timings in each term.
+var (
+	simulationTiming = Timing{
+		GrantTTL: 5 * time.Second, OutageGrantTTL: 7 * time.Second, LeaderLeaseTTL: 3 * time.Second, GrantTimeout: 700 * time.Millisecond,
+		MaxLeaderLeaseTTL: 3 * time.Second, MaxGrantTTL: 7500 * time.Millisecond,
+	}
+	fastTiming = Timing{
+		GrantTTL: 3 * time.Second, OutageGrantTTL: 7500 * time.Millisecond, LeaderLeaseTTL: 1500 * time.Millisecond, GrantTimeout: 700 * time.Millisecond,
+		MaxLeaderLeaseTTL: 3 * time.Second, MaxGrantTTL: 7500 * time.Millisecond, MaxRenewalsPerSecond: 500, LongCalmGrantTTL: 4500 * time.Millisecond,
+	}
+)
 
 // fakeServer is one process of a backend server at a time.
 type fakeServer struct {
@@ -85,6 +95,8 @@
 	knownEra   int
 	startedAt  time.Duration
 	listedAt   map[string]time.Duration
+	// timing is that of the term.
+	timing Timing
 	// isWriting is set while a write of the map has no result.
 	isWriting bool
 	// releases are the releases in the maps that the instance has seen.
@@ -325,9 +337,9 @@
 	if !l.isLeading || m.random.IntN(4) == 0 {
 		return
 	}
-	if m.leaseHolder == l.name && l.termEra == m.era && !m.isStoreDown && m.chance(1.5) {
-		m.leaseEnd = m.now + simulationTiming.LeaderLeaseTTL
-		l.believedLeaseEnd = m.now + simulationTiming.LeaderLeaseTTL - 200*time.Millisecond
+	if m.leaseHolder == l.name && l.termEra == m.era && !m.isStoreDown && m.chance(4.5/l.timing.LeaderLeaseTTL.Seconds()) {
+		m.leaseEnd = m.now + l.timing.LeaderLeaseTTL
+		l.believedLeaseEnd = m.now + l.timing.LeaderLeaseTTL - 200*time.Millisecond
 	}
 	cluster := m.clusterState()
 	if l.recovery != nil {
@@ -372,14 +384,18 @@
 
 // startTerm makes an instance the leader.
 func (m *simulation) startTerm(l *fakeLeader) {
-	m.leaseHolder, m.leaseEnd = l.name, m.now+simulationTiming.LeaderLeaseTTL
+	l.timing = simulationTiming
+	if m.random.IntN(2) == 0 {
+		l.timing = fastTiming
+	}
+	m.leaseHolder, m.leaseEnd = l.name, m.now+l.timing.LeaderLeaseTTL
 	m.lastLease++
-	l.believedLeaseEnd = m.now + simulationTiming.LeaderLeaseTTL - 200*time.Millisecond
+	l.believedLeaseEnd = m.now + l.timing.LeaderLeaseTTL - 200*time.Millisecond
 	l.isLeading, l.termEra, l.recovery, l.isWriting = true, m.era, nil, false
 	stored, found := m.stored[m.era]
 	switch {
 	case found:
-		l.assigner = NewAssigner(m.now, simulationTiming, stored.Clone())
+		l.assigner = NewAssigner(m.now, l.timing, stored.Clone())
 		l.assigner.RecallReleases(l.releases)
 		m.recalled += len(l.assigner.releaseEnds)
 		if stored.IsResigned {
@@ -387,7 +403,7 @@
 		}
 		next := l.assigner.Map().Clone()
 		next.StartTerm(m.lastLease)
-		l.assigner.SetReleaseEnds(m.now, &next)
+		l.assigner.SetEnds(m.now, &next)
 		if m.ignoresPredecessor {
 			l.assigner.grantsExpireAt, l.assigner.predecessorDoneAt = map[string]time.Duration{}, 0
 		}
@@ -398,6 +414,8 @@
 		l.assigner = l.suspended
 		next := l.assigner.Map().Clone()
 		m.startEra(&next)
+		next.LeaderLease = max(next.LeaderLease, l.timing.LeaderLeaseTTL)
+		l.assigner.ContinueUnder(l.timing.LeaderLeaseTTL)
 		l.assigner.Adopt(next)
 		m.store(l, next)
 	default:
@@ -406,9 +424,9 @@
 		m.startEra(&last)
 		l.revision = 0
 		knowsHolders := l.eraBeganAt-l.startedAt >= simulationTiming.HolderMemory()
-		l.recovery = NewRecovery(l.eraBeganAt, simulationTiming, last, knowsHolders)
+		l.recovery = NewRecovery(l.eraBeganAt, l.timing, last, knowsHolders)
 		if m.believesEarlierEra {
-			l.assigner, l.recovery = NewAssigner(m.now, simulationTiming, last), nil
+			l.assigner, l.recovery = NewAssigner(m.now, l.timing, last), nil
 		}
 	}
 	l.suspended = nil
@@ -677,7 +695,8 @@
 		"the owners of an earlier era are believed":              func(m *simulation) { m.believesEarlierEra = true },
 		"a leader continues although its lease may have expired": func(m *simulation) { m.continuesUncertain = true },
 		"a leader continues with a map that it never stored": func(m *simulation) {
-			m.continuesUnstored, m.recoveryRate, m.leaderLossRate, m.restartRate, m.resignRate = true, 0.25, 0.5, 0, 0
+			m.continuesUnstored, m.recoveryRate, m.leaderLossRate, m.restartRate, m.resignRate = true, 0.12, 1, 0, 0
+			m.slowWriteShare, m.serverFaultRate = 0.1, 0.2
 		},
 	} {
 		require.True(t, findsViolation(injectBug), name)
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -27,10 +27,13 @@
 	// LeaseTTL is the time to live of the leader's lease. A leader that crashed is replaced
 	// after it.
 	LeaseTTL = 3 * time.Second
-	// leaseRenewalInterval leaves time for seven lost renewals within a lease. The more
-	// recent the last one, the longer an outage of the store may be after which the leader
-	// knows that no other one has led.
-	leaseRenewalInterval = LeaseTTL / 8
+	// shortLeaseTTL is the same with the feature KeyRecovery. The store's shortest lease is
+	// 1 s; a leader whose processor is busy for 1.3 s loses one of 1.5 s.
+	shortLeaseTTL = 1500 * time.Millisecond
+	// leaseRenewals leaves time for seven lost renewals within a lease. The more recent the
+	// last one, the longer an outage of the store may be after which the leader knows that
+	// no other one has led.
+	leaseRenewals = 8
 	// writeIntervalPerInstance is the minimum interval between two writes of a map, for
 	// each instance that receives the map: a map of 300 ranges takes 8 KB, and 80
 	// instances receive 2 MB/s at most. In larger fleets a map spreads through the
@@ -66,9 +69,20 @@
 	// renew the leader's lease. With it, servers keep serving for over eight seconds
 	// without the store: the leader's lease plus the grant, less one renewal.
 	maxOutageGrantTTL = 7 * time.Second
-	// renewalGap is the age of the lease's last renewal from which the store counts as
-	// unavailable: two renewals in a row were lost.
-	renewalGap = LeaseTTL / 3
+	// shortGrantTTL, longCalmGrantTTL and longOutageGrantTTL are those limits with the
+	// feature KeyRecovery. A grant in calm times bridges two renewals and a change of leader
+	// within shortLeaseTTL; it is longer where many ranges make renewals less frequent. The
+	// first grant of an outage is sent half a second after the last renewal of the lease,
+	// so that it lasts for 8 s of the outage.
+	shortGrantTTL      = 3 * time.Second
+	longCalmGrantTTL   = 4500 * time.Millisecond
+	longOutageGrantTTL = 7500 * time.Millisecond
+	// maxRenewalsPerSecond bounds the calls of a leader with short grants: with 250 ranges
+	// each is renewed every 500 ms, from 625 on every 1.25 s as without the feature.
+	maxRenewalsPerSecond = 500
+	// renewalGapsPerLease is the share of a lease for which its renewal must have failed for
+	// the store to count as unavailable: two renewals in a row were lost.
+	renewalGapsPerLease = 3
 )
 
 // LoadSource provides the load of keys and the capacity of servers.
@@ -115,6 +129,10 @@
 	// history is what this instance has observed of the store and the servers. Only the
 	// goroutine of Run uses it.
 	history history
+	// leaseTTL is the time to live of the current term's lease, and isRecoveryFast whether
+	// the feature KeyRecovery was in use when it began. Only the goroutine of Run uses them.
+	leaseTTL       time.Duration
+	isRecoveryFast bool
 	// suspended is the last term, if it ended with the era while the lease was valid.
 	suspended *suspendedTerm
 
@@ -225,9 +243,13 @@
 	record := func(era redwingstall.Era) redwingstall.Item {
 		return redwingstall.Item{Key: view.LeaderKey(era), Value: []byte(l.Name)}
 	}
+	l.leaseTTL, l.isRecoveryFast = LeaseTTL, l.features().KeyRecovery
+	if l.isRecoveryFast {
+		l.leaseTTL = shortLeaseTTL
+	}
 	lease := presence.NewLease(presence.Config{
 		Store: l.Store, Record: record, IsExclusive: true,
-		TTL: LeaseTTL, RenewalInterval: leaseRenewalInterval, Clock: l.Clock, Log: l.Log,
+		TTL: l.leaseTTL, RenewalInterval: l.leaseTTL / leaseRenewals, Clock: l.Clock, Log: l.Log,
 	})
 	leaseCtx, stop := context.WithCancel(ctx)
 	defer func() {
@@ -409,10 +431,17 @@
 }
 
 func (l *Leader) grantTiming() assign.Timing {
-	return assign.Timing{
+	timing := assign.Timing{
 		GrantTTL: min(l.MaxGrantTTL, maxGrantTTL), OutageGrantTTL: min(l.MaxGrantTTL, maxOutageGrantTTL),
-		LeaderLeaseTTL: LeaseTTL, GrantTimeout: GrantTimeout,
+		LeaderLeaseTTL: l.leaseTTL, GrantTimeout: GrantTimeout,
+		MaxLeaderLeaseTTL: LeaseTTL, MaxGrantTTL: min(l.MaxGrantTTL, longOutageGrantTTL),
+	}
+	if l.isRecoveryFast {
+		timing.GrantTTL, timing.LongCalmGrantTTL = min(l.MaxGrantTTL, shortGrantTTL), min(l.MaxGrantTTL, longCalmGrantTTL)
+		timing.OutageGrantTTL = min(l.MaxGrantTTL, longOutageGrantTTL)
+		timing.MaxRenewalsPerSecond = maxRenewalsPerSecond
 	}
+	return timing
 }
 
 func (l *Leader) clusterState(s *view.Snapshot, name string, state *serviceState) assign.ClusterState {
@@ -443,7 +472,7 @@
 	}
 	cluster := l.clusterState(s, name, state)
 	now := l.Clock()
-	cluster.IsStoreUnavailable = lease.ValidUntil()-now < LeaseTTL-renewalGap
+	cluster.IsStoreUnavailable = lease.ValidUntil()-now < lease.TTL-lease.TTL/renewalGapsPerLease
 	if state.recovery != nil {
 		l.stepRecovery(ctx, lease, name, state, cluster)
 		return true
--- a/internal/ownership/leader/takeover.go
+++ b/internal/ownership/leader/takeover.go
@@ -82,7 +82,7 @@
 	assigner.RecallReleases(l.history.releases[name])
 	next := assigner.Map().Clone()
 	next.StartTerm(held.ID)
-	assigner.SetReleaseEnds(now, &next)
+	assigner.SetEnds(now, &next)
 	position, err := l.writeMap(ctx, name, stored.position, next, nil)
 	if err != nil {
 		l.Log.Warn("cannot take over owner map", "service", name, "era", stored.position.Era, "revision", stored.position.Revision, "error", err.Error())
@@ -108,6 +108,7 @@
 	defer l.mu.Unlock()
 	m := s.assigner.Map().Clone()
 	m.StartEra(held.Era, held.ID)
+	m.LeaderLease = max(m.LeaderLease, l.leaseTTL)
 	return m
 }
 
@@ -128,6 +129,7 @@
 	l.Log.Info("continuing with own owner map in a new era of the store", "service", name, "term", m.Term, "era", position.Era, "revision", position.Revision, "ranges", len(m.Ranges), "lastFence", m.LastFence)
 	l.mu.Lock()
 	assigner.Adopt(m)
+	assigner.ContinueUnder(l.leaseTTL)
 	l.mu.Unlock()
 	l.addService(name, &serviceState{assigner: assigner, position: position})
 	return true
--- a/internal/ownership/shardmap/shardmap.go
+++ b/internal/ownership/shardmap/shardmap.go
@@ -81,7 +81,13 @@
 	LastFence int64
 	// IsResigned is set by a leader that has stepped down and sends no more commands.
 	IsResigned bool
-	Ranges     []Range
+	// LeaderLease is the time to live of the writer's lease, and LongestGrant that of the
+	// longest grant which it or an earlier leader may send. Zero means unknown.
+	LeaderLease  time.Duration
+	LongestGrant time.Duration
+	// PredecessorsWithin bounds for how long after the write earlier leaders may send grants.
+	PredecessorsWithin time.Duration
+	Ranges             []Range
 }
 
 // encodedRange is the compact encoding of a Range. Its owner is an index into the owners
@@ -112,6 +118,10 @@
 	Owners     []Server
 	Ranges     []encodedRange
 	Ends       []encodedEnd
+	// LeaderLease, LongestGrant and PredecessorsWithin are in milliseconds, rounded up.
+	LeaderLease        int64
+	LongestGrant       int64
+	PredecessorsWithin int64
 }
 
 // encodedMapWithoutEnds is the encoding of earlier versions. An upgraded instance may find
@@ -145,7 +155,15 @@
 	if err != nil {
 		return Map{}, errors.Wrap(err, "decode shard map")
 	}
-	m := Map{Term: encoded.Term, LastFence: encoded.LastFence, IsResigned: encoded.IsResigned}
+	for _, millis := range []int64{encoded.LeaderLease, encoded.LongestGrant, encoded.PredecessorsWithin} {
+		if millis < 0 || millis > maxWithinMillis {
+			return Map{}, errors.Newf("shard map: invalid duration of %d ms", millis)
+		}
+	}
+	m := Map{
+		Term: encoded.Term, LastFence: encoded.LastFence, IsResigned: encoded.IsResigned,
+		LeaderLease: fromMillis(encoded.LeaderLease), LongestGrant: fromMillis(encoded.LongestGrant), PredecessorsWithin: fromMillis(encoded.PredecessorsWithin),
+	}
 	for _, r := range encoded.Ranges {
 		if r.Owner < 0 || r.Owner >= len(encoded.Owners) {
 			return Map{}, errors.Newf("shard map: owner index of range %d-%d is out of bounds", r.From, r.To)
@@ -157,7 +175,7 @@
 		if e.Range < 0 || e.Range >= len(m.Ranges) || e.WithinMillis < 0 || e.WithinMillis > maxWithinMillis {
 			return Map{}, errors.Newf("shard map: invalid end of grants of range %d: %d ms", e.Range, e.WithinMillis)
 		}
-		m.Ranges[e.Range].GrantsEndWithin = time.Duration(e.WithinMillis) * time.Millisecond
+		m.Ranges[e.Range].GrantsEndWithin = fromMillis(e.WithinMillis)
 	}
 	return m, m.check()
 }
@@ -166,14 +184,23 @@
 // overflow a duration.
 const maxWithinMillis = int64(time.Hour / time.Millisecond)
 
+func fromMillis(millis int64) time.Duration { return time.Duration(millis) * time.Millisecond }
+
+// toMillis rounds up: each encoded duration is an upper bound.
+func toMillis(duration time.Duration) int64 {
+	return int64((duration + time.Millisecond - 1) / time.Millisecond)
+}
+
 // Encode encodes a map for the metadata store.
 func (m Map) Encode() []byte {
-	encoded := encodedMap{Term: m.Term, LastFence: m.LastFence, IsResigned: m.IsResigned}
+	encoded := encodedMap{
+		Term: m.Term, LastFence: m.LastFence, IsResigned: m.IsResigned,
+		LeaderLease: toMillis(m.LeaderLease), LongestGrant: toMillis(m.LongestGrant), PredecessorsWithin: toMillis(m.PredecessorsWithin),
+	}
 	indices := map[Server]int{}
 	for i, r := range m.Ranges {
 		if r.GrantsEndWithin > 0 {
-			millis := (r.GrantsEndWithin + time.Millisecond - 1) / time.Millisecond
-			encoded.Ends = append(encoded.Ends, encodedEnd{Range: i, WithinMillis: int64(millis)})
+			encoded.Ends = append(encoded.Ends, encodedEnd{Range: i, WithinMillis: toMillis(r.GrantsEndWithin)})
 		}
 		index, found := indices[r.Owner]
 		if !found {
