Tell requests without an owner when one is expected

With KeyRecovery a request waits only if the keys can have an owner in time for the objective; the others are refused at once with the time at which the grants of the former owner end, which the map carries. Before, requests for a listed owner that did not answer were held until the objective, and the others were told to return after 250 ms, which used up their attempts.

The leader records how long keys had no owner (histogram keysWithoutOwner).

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -123,6 +123,7 @@
 		IsFirstStart: node.IsFirstStart, Load: capacityEstimator{g}, Clock: boottime.Now, MaxGrantTTL: node.Bounds.MaxGrantTTL, Log: log,
 		Features:        g.features,
 		ObserveResponse: g.observeOrderResponse,
+		ObserveOwnerGap: func(gap time.Duration) { g.metrics.RecordLatency("keysWithoutOwner", gap) },
 	})
 	g.callers, err = callers.Listen(node.FrontAddress, callers.Config{
 		Handler:          g.newDispatcher(platform),
@@ -191,6 +192,7 @@
 		DrainTimeout:    bounds.DrainTimeout / 2,
 		EvacuateTimeout: bounds.EvacuationTimeout / 2,
 		StopAt:          g.stopTime,
+		Features:        g.features,
 		Random:          rand.Float64,
 	})
 }
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -110,6 +110,9 @@
 	// ObserveResponse gets what a server process says in its response to an order, or zero.
 	// It may be nil.
 	ObserveResponse func(server shardmap.Server, meta redwingstall.ResponseMeta, sentAt time.Time)
+	// ObserveOwnerGap gets how long keys had no owner, for each release that has ended. It
+	// counts from when this leader has stored or found the release. It may be nil.
+	ObserveOwnerGap func(gap time.Duration)
 	// MaxGrantTTL is the configured limit of a grant's time to live.
 	MaxGrantTTL time.Duration
 	// Features returns the optional features in use. Nil means none.
@@ -149,8 +152,10 @@
 	// position is that of the stored map. Its revision is zero while there is none.
 	position redwingstall.Position
 	// superseded are the keys of maps of earlier eras, which the first write removes.
-	superseded     []string
-	addresses      map[string]string
+	superseded []string
+	addresses  map[string]string
+	// releasedSince is since when ranges have no owner, by the fencing token of the release.
+	releasedSince  map[int64]time.Duration
 	usageLoggedAt  time.Duration
 	writeStartedAt time.Duration
 	// retryWriteAt is the earliest time of the next write after one that failed.
@@ -557,7 +562,36 @@
 	state.assigner.Adopt(draft)
 	state.superseded = nil
 	l.wakeUp()
-	l.Log.Info("owner map written", "service", name, "era", position.Era, "revision", position.Revision, "ranges", len(draft.Ranges), "lastFence", draft.LastFence)
+	longestGap := l.observeGaps(state, draft)
+	l.Log.Info("owner map written", "service", name, "era", position.Era, "revision", position.Revision, "ranges", len(draft.Ranges), "lastFence", draft.LastFence,
+		"withoutOwner", len(state.releasedSince), "longestGapMillis", longestGap.Milliseconds())
+}
+
+// observeGaps updates which ranges have no owner, and returns the longest time for which one
+// that has an owner again had none. The lock must be held.
+func (l *Leader) observeGaps(state *serviceState, stored shardmap.Map) time.Duration {
+	now, longest := l.Clock(), time.Duration(0)
+	since := map[int64]time.Duration{}
+	for _, r := range stored.Ranges {
+		if r.State == shardmap.StateAssigned {
+			continue
+		}
+		since[r.Fence] = now
+		if began, found := state.releasedSince[r.Fence]; found {
+			since[r.Fence] = began
+		}
+	}
+	for fence, began := range state.releasedSince {
+		if _, found := since[fence]; found {
+			continue
+		}
+		longest = max(longest, now-began)
+		if l.ObserveOwnerGap != nil {
+			l.ObserveOwnerGap(now - began)
+		}
+	}
+	state.releasedSince = since
+	return longest
 }
 
 func (l *Leader) wakeUp() {
--- a/internal/ownership/leader/takeover.go
+++ b/internal/ownership/leader/takeover.go
@@ -156,6 +156,9 @@
 	state.addresses = map[string]string{}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if state.assigner != nil {
+		l.observeGaps(state, state.assigner.Map())
+	}
 	l.services[name] = state
 }
 
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -121,6 +121,7 @@
 type Dispatcher struct {
 	Config
 	ownerMisses    ownerMisses
+	releases       knownReleases
 	clientTimeouts clientTimeouts
 	endChecks      endChecks
 	// backoffs are the servers that want no requests from this instance for a time, and
@@ -323,7 +324,8 @@
 		return d.routerAnswer(j, http.StatusServiceUnavailable, 0), ReasonClientGone
 	}
 	retryAfter := max(r.retryAfter, minRetryAfter)
-	if r.reason == ReasonServerLimit || r.reason == ReasonServerBackoff || r.reason == ReasonQuarantined {
+	isOwnerExpectedLater := r.reason == ReasonNoOwner && r.retryAfter > noOwnerRetryAfter
+	if r.reason == ReasonServerLimit || r.reason == ReasonServerBackoff || r.reason == ReasonQuarantined || isOwnerExpectedLater {
 		// A client that returns earlier is refused again.
 		retryAfter = d.spreadLater(retryAfter)
 	} else {
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -18,6 +18,7 @@
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/features"
 	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/traffic/budget"
@@ -309,6 +310,52 @@
 	})
 }
 
+// Guards against requests that are held, or told to return, before their key can have an owner:
+// the map says when the grants of a lost owner end.
+func TestRequestsForKeysOfLostOwnerAreToldWhenItsGrantsEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		endsWithin time.Duration
+		isFast     bool
+		waits      bool
+		retryAfter float64
+	}{
+		"in time for the objective": {200 * time.Millisecond, true, true, 0},
+		"too late":                  {4 * time.Second, true, false, 4.3},
+		"without the feature":       {200 * time.Millisecond, false, false, 0.18},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newFixture(func(int, string, backends.Request) (backends.Response, error) { return signed(200), nil })
+				w.dispatcher.Features = func() features.Set { return features.Set{KeyRecovery: c.isFast} }
+				m := w.view.Snapshot().Maps["k"].Clone()
+				publish := func(revision redwingstall.Revision) {
+					w.view.Apply(time.Now(), []redwingstall.Event{redwingstall.EntryRemoved{ID: "k1"}, redwingstall.RecordChanged{Change: redwingstall.Change{Item: redwingstall.Item{Key: view.MapPrefix + "k", Value: m.Encode(), Revision: revision}}}}, false)
+				}
+				m.Ranges[0].Release(m.NextReleaseFence())
+				m.Ranges[0].GrantsEndWithin = c.endsWithin
+				publish(2)
+				time.AfterFunc(c.endsWithin, func() {
+					m = m.Clone()
+					m.Ranges[0].AssignTo(shardmap.Server{ID: "k3", StartedAtMillis: 1})
+					publish(3)
+				})
+				began := time.Now()
+				answer := w.get(t.Context(), "/keyed/x", "Shard-Key", "5")
+				if c.waits {
+					require.Equal(t, 200, answer.Status)
+					return
+				}
+				require.Equal(t, 503, answer.Status)
+				require.Less(t, time.Since(began), 10*time.Millisecond, "refused at once")
+				seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+				require.NoError(t, err)
+				require.GreaterOrEqual(t, seconds, c.retryAfter)
+				require.Less(t, seconds, c.retryAfter*1.3+0.2)
+			})
+		})
+	}
+}
+
 func TestDrainingAndEvacuatedServersGetNoRequests(t *testing.T) {
 	w := newFixture(func(int, string, backends.Request) (backends.Response, error) { return signed(200), nil })
 	w.view.Apply(time.Now(), []redwingstall.Event{
--- a/internal/traffic/dispatch/owner.go
+++ b/internal/traffic/dispatch/owner.go
@@ -12,7 +12,8 @@
 
 // chooseOwner selects the owner of the key. While the key is being reassigned it
 // waits for an update of the shard map, at most until the latency objective: a
-// rejected client would retry and wait for the same update.
+// rejected client would retry and wait for the same update. With the feature KeyRecovery, only
+// requests wait that an owner is expected in time for; the others are told when to return.
 func (d *Dispatcher) chooseOwner(ctx context.Context, j *job) (*choice, rejection) {
 	for {
 		s := d.View.Snapshot()
@@ -22,8 +23,14 @@
 			return d.admitOwner(s, j, c, now)
 		}
 		left := min(j.latencyTarget.Sub(now), j.deadline.Sub(now)-2*d.Estimator.RouteExecutionTime(j.route.Name))
+		retryAfter := noOwnerRetryAfter
+		if d.features().KeyRecovery {
+			expected := d.ownerExpectedIn(s, j, now)
+			isOwnerExpected = expected <= left && (isOwnerExpected || expected > 0)
+			retryAfter = max(retryAfter, expected)
+		}
 		if !isOwnerExpected || left <= 0 {
-			return nil, rejection{reason: ReasonNoOwner, retryAfter: noOwnerRetryAfter}
+			return nil, rejection{reason: ReasonNoOwner, retryAfter: retryAfter}
 		}
 		timer := time.NewTimer(min(left, ownerPollInterval))
 		select {
