--- a/internal/ownership/leader/leader_test.go
+++ b/internal/ownership/leader/leader_test.go
@@ -18,6 +18,7 @@
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/node/boottime"
+	"github.com/redwingstall/redwingstall/internal/node/features"
 	"github.com/redwingstall/redwingstall/internal/ownership/leader"
 	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
 	"github.com/redwingstall/redwingstall/platform"
@@ -99,6 +100,8 @@
 	c.leader = leader.NewLeader(leader.Config{
 		Name: name, IsFirstStart: true, Store: store, OwnerClient: c.owners, View: c.view, Load: fixedLoad{},
 		Clock: boottime.Now, MaxGrantTTL: 10 * time.Second, Log: log,
+		// Leaders with and without short leases and grants succeed each other.
+		Features: func() features.Set { return features.Set{KeyRecovery: name == "other"} },
 		ObserveResponse: func(server shardmap.Server, meta redwingstall.ResponseMeta, _ time.Time) {
 			if meta.IsLeaving {
 				c.view.MarkLeaving(time.Now(), server)
