--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -48,6 +48,9 @@
 	shortGrantReserve = 2 * time.Second
 	// minRenewalsPerTTL bounds the renewal interval of grants that are shorter than that.
 	minRenewalsPerTTL = 6
+	// outageRenewalInterval is the same while the store is unavailable. A lease of 1.5 s is
+	// certain for 0.8 s by then, in which each grant is sent twice.
+	outageRenewalInterval = 600 * time.Millisecond
 	// grantRetryDelay is the delay before an unanswered grant is retried.
 	grantRetryDelay = 150 * time.Millisecond
 	// releaseRetryDelay is the delay before an unanswered release is retried for the first
@@ -171,8 +174,8 @@
 	// Until then no keys are assigned: a server that restarted under its ID has
 	// forgotten what it released, and would accept a late grant of the previous leader.
 	predecessorDoneAt time.Duration
-	// longestGrantTTL is that of the longest grant of this leader or an earlier one.
-	longestGrantTTL time.Duration
+	// predecessorGrantTTL is that of the longest grant that an earlier leader may have sent.
+	predecessorGrantTTL time.Duration
 	// candidateCount is the number of candidates for the first division. It has been the
 	// same since candidateCountSince.
 	candidateCount      int
@@ -196,7 +199,9 @@
 		wait = 0
 	}
 	a.predecessorDoneAt = now + wait
-	a.longestGrantTTL = max(longest, timing.longestGrantTTL())
+	if len(stored.Ranges) > 0 {
+		a.predecessorGrantTTL = longest
+	}
 	for _, r := range stored.Ranges {
 		a.grantsExpireAt[r.Owner.ID] = a.predecessorDoneAt + a.timing.maxGrantLifetime(longest)
 	}
@@ -253,9 +258,12 @@
 }
 
 // renewalInterval returns when a grant is renewed after it was sent.
-func (t Timing) renewalInterval(ttl time.Duration) time.Duration {
-	if t.MaxRenewalsPerSecond == 0 {
+func (t Timing) renewalInterval(ttl time.Duration, cluster ClusterState) time.Duration {
+	switch {
+	case t.MaxRenewalsPerSecond == 0:
 		return ttl / renewalsPerTTL
+	case cluster.IsStoreUnavailable:
+		return outageRenewalInterval
 	}
 	return max((ttl-shortGrantReserve)/2, ttl/minRenewalsPerTTL)
 }
@@ -347,7 +355,7 @@
 		return now-p.endedAt >= grantRetryDelay
 	}
 	isOutage := cluster.IsStoreUnavailable && p.grantTTL < grantTTL
-	return !p.isAnswered || isOutage || now-p.sentAt >= a.timing.renewalInterval(p.grantTTL)
+	return !p.isAnswered || isOutage || now-p.sentAt >= a.timing.renewalInterval(p.grantTTL, cluster)
 }
 
 // isReleaseDue reports whether a release that is not in flight is to be sent to a server as it
--- a/internal/ownership/assign/release.go
+++ b/internal/ownership/assign/release.go
@@ -71,7 +71,10 @@
 // how long this leader and earlier ones may send grants. It must be called before the write of
 // the map begins.
 func (a *Assigner) SetEnds(now time.Duration, draft *shardmap.Map) {
-	draft.LeaderLease, draft.LongestGrant = a.timing.LeaderLeaseTTL, a.longestGrantTTL
+	draft.LeaderLease, draft.LongestGrant = a.timing.LeaderLeaseTTL, a.timing.longestGrantTTL()
+	if now < a.predecessorDoneAt+a.timing.maxGrantLifetime(a.predecessorGrantTTL) {
+		draft.LongestGrant = max(draft.LongestGrant, a.predecessorGrantTTL)
+	}
 	draft.PredecessorsWithin = max(a.predecessorDoneAt-now, 0)
 	for i := range draft.Ranges {
 		if r := &draft.Ranges[i]; r.State == shardmap.StateReleasing {
--- a/internal/ownership/assign/release_test.go
+++ b/internal/ownership/assign/release_test.go
@@ -130,7 +130,7 @@
 	for ranges, want := range map[int]time.Duration{1: 3 * time.Second, 234: 3 * time.Second, 500: 4 * time.Second, 810: 4500 * time.Millisecond} {
 		ttl := fastTiming.grantTTL(ClusterState{}, ranges)
 		require.Equal(t, want, ttl, "%d ranges", ranges)
-		interval := fastTiming.renewalInterval(ttl)
+		interval := fastTiming.renewalInterval(ttl, ClusterState{})
 		require.LessOrEqual(t, float64(ranges)/interval.Seconds(), 650.0, "calls per second")
 		require.GreaterOrEqual(t, ttl-interval, fastTiming.LeaderLeaseTTL+500*time.Millisecond, "change of leader")
 	}
--- a/internal/ownership/assign/simulation_test.go
+++ b/internal/ownership/assign/simulation_test.go
@@ -34,11 +34,11 @@
 var (
 	simulationTiming = Timing{
 		GrantTTL: 5 * time.Second, OutageGrantTTL: 7 * time.Second, LeaderLeaseTTL: 3 * time.Second, GrantTimeout: 700 * time.Millisecond,
-		MaxLeaderLeaseTTL: 3 * time.Second, MaxGrantTTL: 7500 * time.Millisecond,
+		MaxLeaderLeaseTTL: 3 * time.Second, MaxGrantTTL: 8 * time.Second,
 	}
 	fastTiming = Timing{
-		GrantTTL: 3 * time.Second, OutageGrantTTL: 7500 * time.Millisecond, LeaderLeaseTTL: 1500 * time.Millisecond, GrantTimeout: 700 * time.Millisecond,
-		MaxLeaderLeaseTTL: 3 * time.Second, MaxGrantTTL: 7500 * time.Millisecond, MaxRenewalsPerSecond: 500, LongCalmGrantTTL: 4500 * time.Millisecond,
+		GrantTTL: 3 * time.Second, OutageGrantTTL: 8 * time.Second, LeaderLeaseTTL: 1500 * time.Millisecond, GrantTimeout: 700 * time.Millisecond,
+		MaxLeaderLeaseTTL: 3 * time.Second, MaxGrantTTL: 8 * time.Second, MaxRenewalsPerSecond: 500, LongCalmGrantTTL: 4500 * time.Millisecond,
 	}
 )
 
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -71,18 +71,20 @@
 	maxOutageGrantTTL = 7 * time.Second
 	// shortGrantTTL, longCalmGrantTTL and longOutageGrantTTL are those limits with the
 	// feature KeyRecovery. A grant in calm times bridges two renewals and a change of leader
-	// within shortLeaseTTL; it is longer where many ranges make renewals less frequent. The
-	// first grant of an outage is sent half a second after the last renewal of the lease,
-	// so that it lasts for 8 s of the outage.
+	// within shortLeaseTTL; it is longer where many ranges make renewals less frequent. With
+	// a short lease the last grants of an outage are sent earlier, 1.1 s after the last
+	// renewal of the lease in place of 2.5 s, so that they have to last longer.
 	shortGrantTTL      = 3 * time.Second
 	longCalmGrantTTL   = 4500 * time.Millisecond
-	longOutageGrantTTL = 7500 * time.Millisecond
+	longOutageGrantTTL = 8 * time.Second
 	// maxRenewalsPerSecond bounds the calls of a leader with short grants: with 250 ranges
 	// each is renewed every 500 ms, from 625 on every 1.25 s as without the feature.
 	maxRenewalsPerSecond = 500
-	// renewalGapsPerLease is the share of a lease for which its renewal must have failed for
-	// the store to count as unavailable: two renewals in a row were lost.
-	renewalGapsPerLease = 3
+	// unavailableLeft is how long the lease is still certain when the store counts as
+	// unavailable, and shortUnavailableLeft the same for a short lease: its last renewal was
+	// 0.8 or 0.5 s ago, so that two in a row were lost.
+	unavailableLeft      = 2 * time.Second
+	shortUnavailableLeft = 800 * time.Millisecond
 )
 
 // LoadSource provides the load of keys and the capacity of servers.
@@ -477,7 +479,8 @@
 	}
 	cluster := l.clusterState(s, name, state)
 	now := l.Clock()
-	cluster.IsStoreUnavailable = lease.ValidUntil()-now < lease.TTL-lease.TTL/renewalGapsPerLease
+	left := lease.ValidUntil() - now
+	cluster.IsStoreUnavailable = left < unavailableLeft && lease.TTL == LeaseTTL || left < shortUnavailableLeft
 	if state.recovery != nil {
 		l.stepRecovery(ctx, lease, name, state, cluster)
 		return true
