--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -131,6 +131,7 @@
 		IsFirstStart: node.IsFirstStart, Load: capacityEstimator{g}, Clock: boottime.Now, MaxGrantTTL: node.Bounds.MaxGrantTTL, Log: log,
 		Features:        g.features,
 		ObserveResponse: g.observeOrderResponse,
+		ObserveOwnerGap: func(gap time.Duration) { g.metrics.RecordLatency("keysWithoutOwner", gap) },
 	})
 	g.callers, err = callers.Listen(node.FrontAddress, callers.Config{
 		Handler:          g.newDispatcher(platform),
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -27,10 +27,13 @@
 	// LeaseTTL is the time to live of the leader's lease. A leader that crashed is replaced
 	// after it.
 	LeaseTTL = 3 * time.Second
-	// leaseRenewalInterval leaves time for seven lost renewals within a lease. The more
-	// recent the last one, the longer an outage of the store may be after which the leader
-	// knows that no other one has led.
-	leaseRenewalInterval = LeaseTTL / 8
+	// shortLeaseTTL is the same with the feature KeyRecovery. The store's shortest lease is
+	// 1 s; a leader whose processor is busy for 1.3 s loses one of 1.5 s.
+	shortLeaseTTL = 1500 * time.Millisecond
+	// leaseRenewals leaves time for seven lost renewals within a lease. The more recent the
+	// last one, the longer an outage of the store may be after which the leader knows that
+	// no other one has led.
+	leaseRenewals = 8
 	// writeIntervalPerInstance is the minimum interval between two writes of a map, for
 	// each instance that receives the map: a map of 300 ranges takes 8 KB, and 80
 	// instances receive 2 MB/s at most. In larger fleets a map spreads through the
@@ -66,9 +69,22 @@
 	// renew the leader's lease. With it, servers keep serving for over eight seconds
 	// without the store: the leader's lease plus the grant, less one renewal.
 	maxOutageGrantTTL = 7 * time.Second
-	// renewalGap is the age of the lease's last renewal from which the store counts as
-	// unavailable: two renewals in a row were lost.
-	renewalGap = LeaseTTL / 3
+	// shortGrantTTL, longCalmGrantTTL and longOutageGrantTTL are those limits with the
+	// feature KeyRecovery. A grant in calm times bridges two renewals and a change of leader
+	// within shortLeaseTTL; it is longer where many ranges make renewals less frequent. With
+	// a short lease the last grants of an outage are sent earlier, 1.1 s after the last
+	// renewal of the lease in place of 2.5 s, so that they have to last longer.
+	shortGrantTTL      = 3 * time.Second
+	longCalmGrantTTL   = 4500 * time.Millisecond
+	longOutageGrantTTL = 8 * time.Second
+	// maxRenewalsPerSecond bounds the calls of a leader with short grants: with 250 ranges
+	// each is renewed every 500 ms, from 625 on every 1.25 s as without the feature.
+	maxRenewalsPerSecond = 500
+	// unavailableLeft is how long the lease is still certain when the store counts as
+	// unavailable, and shortUnavailableLeft the same for a short lease: its last renewal was
+	// 0.8 or 0.5 s ago, so that two in a row were lost.
+	unavailableLeft      = 2 * time.Second
+	shortUnavailableLeft = 800 * time.Millisecond
 )
 
 // LoadSource provides the load of keys and the capacity of servers.
@@ -96,6 +112,9 @@
 	// ObserveResponse gets what a server process says in its response to an order, or zero.
 	// It may be nil.
 	ObserveResponse func(server shardmap.Server, meta redwingstall.ResponseMeta, sentAt time.Time)
+	// ObserveOwnerGap gets how long keys had no owner, for each release that has ended. It
+	// counts from when this leader has stored or found the release. It may be nil.
+	ObserveOwnerGap func(gap time.Duration)
 	// MaxGrantTTL is the configured limit of a grant's time to live.
 	MaxGrantTTL time.Duration
 	// Features returns the optional features in use. Nil means none.
@@ -116,6 +135,10 @@
 	// goroutine of Run uses it.
 	history  history
 	replaced replacedServers
+	// leaseTTL is the time to live of the current term's lease, and isRecoveryFast whether
+	// the feature KeyRecovery was in use when it began. Only the goroutine of Run uses them.
+	leaseTTL       time.Duration
+	isRecoveryFast bool
 	// suspended is the last term, if it ended with the era while the lease was valid.
 	suspended *suspendedTerm
 
@@ -132,8 +155,10 @@
 	// position is that of the stored map. Its revision is zero while there is none.
 	position redwingstall.Position
 	// superseded are the keys of maps of earlier eras, which the first write removes.
-	superseded     []string
-	addresses      map[string]string
+	superseded []string
+	addresses  map[string]string
+	// releasedSince is since when ranges have no owner, by the fencing token of the release.
+	releasedSince  map[int64]time.Duration
 	usageLoggedAt  time.Duration
 	writeStartedAt time.Duration
 	// retryWriteAt is the earliest time of the next write after one that failed.
@@ -226,9 +251,13 @@
 	record := func(era redwingstall.Era) redwingstall.Item {
 		return redwingstall.Item{Key: view.LeaderKey(era), Value: []byte(l.Name)}
 	}
+	l.leaseTTL, l.isRecoveryFast = LeaseTTL, l.features().KeyRecovery
+	if l.isRecoveryFast {
+		l.leaseTTL = shortLeaseTTL
+	}
 	lease := presence.NewLease(presence.Config{
 		Store: l.Store, Record: record, IsExclusive: true,
-		TTL: LeaseTTL, RenewalInterval: leaseRenewalInterval, Clock: l.Clock, Log: l.Log,
+		TTL: l.leaseTTL, RenewalInterval: l.leaseTTL / leaseRenewals, Clock: l.Clock, Log: l.Log,
 	})
 	leaseCtx, stop := context.WithCancel(ctx)
 	defer func() {
@@ -410,10 +439,17 @@
 }
 
 func (l *Leader) grantTiming() assign.Timing {
-	return assign.Timing{
+	timing := assign.Timing{
 		GrantTTL: min(l.MaxGrantTTL, maxGrantTTL), OutageGrantTTL: min(l.MaxGrantTTL, maxOutageGrantTTL),
-		LeaderLeaseTTL: LeaseTTL, GrantTimeout: GrantTimeout,
+		LeaderLeaseTTL: l.leaseTTL, GrantTimeout: GrantTimeout,
+		MaxLeaderLeaseTTL: LeaseTTL, MaxGrantTTL: min(l.MaxGrantTTL, longOutageGrantTTL),
+	}
+	if l.isRecoveryFast {
+		timing.GrantTTL, timing.LongCalmGrantTTL = min(l.MaxGrantTTL, shortGrantTTL), min(l.MaxGrantTTL, longCalmGrantTTL)
+		timing.OutageGrantTTL = min(l.MaxGrantTTL, longOutageGrantTTL)
+		timing.MaxRenewalsPerSecond = maxRenewalsPerSecond
 	}
+	return timing
 }
 
 func (l *Leader) clusterState(s *view.Snapshot, name string, state *serviceState) assign.ClusterState {
@@ -444,7 +480,8 @@
 	}
 	cluster := l.clusterState(s, name, state)
 	now := l.Clock()
-	cluster.IsStoreUnavailable = lease.ValidUntil()-now < LeaseTTL-renewalGap
+	left := lease.ValidUntil() - now
+	cluster.IsStoreUnavailable = left < unavailableLeft && lease.TTL == LeaseTTL || left < shortUnavailableLeft
 	if state.recovery != nil {
 		l.stepRecovery(ctx, lease, name, state, cluster)
 		return true
@@ -529,7 +566,36 @@
 	state.assigner.Adopt(draft)
 	state.superseded = nil
 	l.wakeUp()
-	l.Log.Info("owner map written", "service", name, "era", position.Era, "revision", position.Revision, "ranges", len(draft.Ranges), "lastFence", draft.LastFence)
+	longestGap := l.observeGaps(state, draft)
+	l.Log.Info("owner map written", "service", name, "era", position.Era, "revision", position.Revision, "ranges", len(draft.Ranges), "lastFence", draft.LastFence,
+		"withoutOwner", len(state.releasedSince), "longestGapMillis", longestGap.Milliseconds())
+}
+
+// observeGaps updates which ranges have no owner, and returns the longest time for which one
+// that has an owner again had none. The lock must be held.
+func (l *Leader) observeGaps(state *serviceState, stored shardmap.Map) time.Duration {
+	now, longest := l.Clock(), time.Duration(0)
+	since := map[int64]time.Duration{}
+	for _, r := range stored.Ranges {
+		if r.State == shardmap.StateAssigned {
+			continue
+		}
+		since[r.Fence] = now
+		if began, found := state.releasedSince[r.Fence]; found {
+			since[r.Fence] = began
+		}
+	}
+	for fence, began := range state.releasedSince {
+		if _, found := since[fence]; found {
+			continue
+		}
+		longest = max(longest, now-began)
+		if l.ObserveOwnerGap != nil {
+			l.ObserveOwnerGap(now - began)
+		}
+	}
+	state.releasedSince = since
+	return longest
 }
 
 func (l *Leader) wakeUp() {
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -130,6 +130,7 @@
 type Dispatcher struct {
 	Config
 	ownerMisses    ownerMisses
+	releases       knownReleases
 	clientTimeouts clientTimeouts
 	admission      admission.Controller
 	endChecks      endChecks
@@ -349,7 +350,8 @@
 	if r.reason == ReasonNotAdmitted {
 		return d.routerAnswer(j, http.StatusServiceUnavailable, retryAfter), r.reason // it is spread already
 	}
-	if r.reason == ReasonServerLimit || r.reason == ReasonServerBackoff || r.reason == ReasonQuarantined {
+	isOwnerExpectedLater := r.reason == ReasonNoOwner && r.retryAfter > noOwnerRetryAfter
+	if r.reason == ReasonServerLimit || r.reason == ReasonServerBackoff || r.reason == ReasonQuarantined || isOwnerExpectedLater {
 		// A client that returns earlier is refused again.
 		retryAfter = d.spreadLater(retryAfter)
 	} else {
