Drop the bodies of requests and responses that are written

An idle connection referenced its last request and response until the next request, while their memory counted as released.

--- a/internal/entry/callers/body.go
+++ b/internal/entry/callers/body.go
@@ -16,7 +16,7 @@
 	// is dispatched, so that a slow client occupies no slot of a server. The rest of a
 	// larger body is passed on as it arrives.
 	maxBufferedBody = 256 << 10
-	// bodyReadSize is the size in bytes in which the memory for a body grows.
+	// bodyReadSize is the size in bytes that the memory for a body begins with.
 	bodyReadSize = 32 << 10
 )
 
@@ -92,7 +92,7 @@
 
 // grow adds memory for the next bytes. It reports whether there was enough.
 func (b *requestBody) grow(memory memoryReserver) bool {
-	size := int64(bodyReadSize)
+	size := max(bodyReadSize, int64(len(b.start))) // doubles, so that little is copied
 	if left := b.length - int64(len(b.start)); left > 0 {
 		size = min(size, left)
 	}
--- a/internal/entry/callers/connection.go
+++ b/internal/entry/callers/connection.go
@@ -191,6 +191,7 @@
 		last = next
 		go func() {
 			c.answer(ctx, next, body, arrived)
+			body = requestBody{}
 			memory.release()
 			close(next.ready)
 			select {
@@ -198,8 +199,10 @@
 			case <-closed:
 			}
 			next.answer.Release()
+			// The slot is referenced until the next request of the connection.
+			next.answer = backends.Response{}
 		}()
-		if body.rest != nil {
+		if next.isStreamed {
 			<-next.ready // the body is read until then
 		}
 		if next.isLast {
