Bound what the kernel holds for a client connection

The kernel took up to 4 MB of responses for each client that does not read, and the process counted them as delivered. Listeners in Go use Multipath TCP, whose accepted sockets do not inherit the options: seen to have no effect with it.

--- a/internal/entry/callers/server.go
+++ b/internal/entry/callers/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
+	"github.com/redwingstall/redwingstall/internal/entry/sockets"
 	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
 )
 
@@ -67,7 +68,7 @@
 
 // Listen returns a server that listens on the address.
 func Listen(address string, config Config) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := sockets.Listen(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "callers")
 	}
