Bound the connections for requests to all servers together

Each server's connections were bounded, but not their sum: 600 slow clients made 830 and more descriptors. Without an idle one, all servers count as having no free connection, as a single one did before.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -4,9 +4,11 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -161,6 +163,11 @@
 
 	mu      sync.Mutex
 	servers map[string]*server
+	// limit bounds the open connections to all servers. Zero means no bound.
+	limit int
+	open  int
+	// idle are the idle connections to all servers, the longest idle first.
+	idle list.List
 }
 
 type server struct {
@@ -180,6 +187,8 @@
 	idleSince time.Time
 	idleFor   time.Duration
 	idleLimit time.Duration
+	// element is the place among the idle connections to all servers, or nil.
+	element *list.Element
 }
 
 // NewPool returns an empty pool whose responses take at most about maxBuffered bytes in all. The
@@ -189,6 +198,14 @@
 	return &Pool{protocol: protocol, count: count, memory: newResponseMemory(maxBuffered), servers: map[string]*server{}}
 }
 
+// LimitConnections bounds the open connections to all servers. Beyond it, a new connection takes the
+// place of the one that has been idle for longest.
+func (p *Pool) LimitConnections(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+}
+
 // IsShortOfMemory reports whether responses wait for memory.
 func (p *Pool) IsShortOfMemory() bool { return p.memory.small.IsShort() || p.memory.large.IsShort() }
 
@@ -263,18 +280,42 @@
 		p.mu.Unlock()
 		return nil, &Error{Reason: ReasonConnectionLimit, Cause: errors.Newf("%d connections open", limits.Open)}
 	}
+	if p.limit > 0 && p.open >= p.limit && !p.closeLongestIdle() {
+		p.mu.Unlock()
+		return nil, &Error{Reason: ReasonConnectionLimit, Cause: errors.Newf("%d connections open to all servers", p.limit)}
+	}
 	s.open++
+	p.open++
 	p.mu.Unlock()
 	c, err := p.dial(ctx, key, address)
 	if err != nil {
 		p.mu.Lock()
-		s.open--
+		p.countClosed(s)
 		p.mu.Unlock()
 		return nil, err
 	}
 	return c, nil
 }
 
+// countClosed counts a connection as closed. The caller holds the lock.
+func (p *Pool) countClosed(s *server) {
+	s.open--
+	p.open--
+}
+
+// closeLongestIdle closes the connection that has been idle for longest. It returns false if none
+// is idle. The caller holds the lock.
+func (p *Pool) closeLongestIdle() bool {
+	first := p.idle.Front()
+	if first == nil {
+		return false
+	}
+	c := first.Value.(*connection)
+	s := p.servers[c.key]
+	p.closeIdle(s, slices.Index(s.idle, c), "replaced")
+	return true
+}
+
 // takeIdle returns the connection that was used last, of those that may carry the request. It
 // closes those that cannot be reused. The caller holds the lock.
 func (p *Pool) takeIdle(s *server, request idHash) *connection {
@@ -290,6 +331,7 @@
 			continue
 		}
 		s.idle = slices.Delete(s.idle, i, i+1)
+		p.idle.Remove(c.element)
 		return c
 	}
 	return nil
@@ -298,8 +340,9 @@
 // closeIdle closes an idle connection. The caller holds the lock.
 func (p *Pool) closeIdle(s *server, i int, reason string) {
 	_ = s.idle[i].Close()
+	p.idle.Remove(s.idle[i].element)
 	s.idle = slices.Delete(s.idle, i, i+1)
-	s.open--
+	p.countClosed(s)
 	p.count("connections.closed." + reason)
 }
 
@@ -335,6 +378,7 @@
 	defer p.mu.Unlock()
 	s := p.servers[c.key]
 	s.idle = append(s.idle, c)
+	c.element = p.idle.PushBack(c)
 }
 
 func (p *Pool) dial(ctx context.Context, key, address string) (*connection, error) {
@@ -385,7 +429,7 @@
 	_ = c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.servers[c.key].open--
+	p.countClosed(p.servers[c.key])
 }
 
 // CloseExpired closes connections whose idle timeout has expired.
@@ -401,7 +445,8 @@
 				continue
 			}
 			_ = c.Close()
-			s.open--
+			p.idle.Remove(c.element)
+			p.countClosed(s)
 			p.count("connections.closed.idle")
 		}
 		s.idle = kept
@@ -412,13 +457,16 @@
 }
 
 // Connections returns the number of open connections to a server, and how many of
-// them are idle.
+// them are idle. If no further one can be opened to any server, it returns [math.MaxInt] as open.
 func (p *Pool) Connections(id, address string) (open, idle int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[id+" "+address]
 	if s == nil {
-		return 0, 0
+		s = &server{}
+	}
+	if p.limit > 0 && p.open >= p.limit && p.idle.Len() == 0 {
+		return math.MaxInt, 0
 	}
 	return s.open, len(s.idle)
 }
--- a/internal/entry/backends/backends_test.go
+++ b/internal/entry/backends/backends_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -219,6 +220,49 @@
 	require.NoError(t, <-ended)
 }
 
+// Guards against connections to many servers that take all descriptors. The one idle for longest is
+// closed for a new one; without an idle one, nothing is sent and no server seems to have room.
+func TestConnectionsToAllServersAreLimited(t *testing.T) {
+	release := make(chan struct{})
+	p := pool()
+	p.LimitConnections(2)
+	var servers []*server
+	for range 3 {
+		servers = append(servers, serve(t, func(_ int, r *http.Request, c net.Conn) {
+			if id := r.Header.Get("Request-Id"); strings.HasPrefix(id, "held") {
+				<-release
+			}
+			reply(c, r.Header.Get("Request-Id"), "")
+		}))
+	}
+	open := func(n int) int {
+		open, _ := p.Connections("s", servers[n].listener.Addr().String())
+		return open
+	}
+	for n, s := range servers {
+		_, err := do(p, s, fmt.Sprint(n))
+		require.NoError(t, err)
+	}
+	require.Equal(t, []int{0, 1, 1}, []int{open(0), open(1), open(2)})
+	var running sync.WaitGroup
+	for n := range 2 {
+		running.Go(func() {
+			_, err := do(p, servers[n], fmt.Sprint("held", n))
+			require.NoError(t, err)
+		})
+	}
+	require.Eventually(t, func() bool { return open(0) == math.MaxInt && open(2) == math.MaxInt }, time.Second, time.Millisecond)
+	_, err := do(p, servers[2], "more")
+	attemptError := &backends.Error{}
+	require.ErrorAs(t, err, &attemptError)
+	require.Equal(t, backends.ReasonConnectionLimit, attemptError.Reason)
+	require.False(t, attemptError.IsSent)
+	close(release)
+	running.Wait()
+	_, err = do(p, servers[2], "afterwards")
+	require.NoError(t, err)
+}
+
 func TestCanceledAttemptClosesItsConnection(t *testing.T) {
 	closed := make(chan struct{})
 	s := serve(t, func(_ int, _ *http.Request, c net.Conn) {
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -99,6 +99,7 @@
 		debug.SetMemoryLimit(int64(softLimitShare * float64(node.MemoryBytes)))
 	}
 	g.pool = backends.NewPool(platform.Protocol, node.MemoryBytes/responseShare, g.metrics.Count)
+	g.pool.LimitConnections(maxServerConnections(node))
 	var err error
 	g.exchange, err = peers.NewExchange(node, g.view, g.estimator, g.metrics, g.metrics.Add, log)
 	if err != nil {
