Bound the connections of the operators' addresses

The addresses that serve readiness and metrics accepted connections without a bound, and had no limit of time but for the header.

--- /dev/null
+++ b/internal/entry/eviction/listener_test.go
@@ -0,0 +1,72 @@
+package eviction_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/test/bufconn"
+
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
+)
+
+// Guards against clients of an HTTP server that keep others out by what they do not send or read.
+// Connections that wait for their client are closed for new ones, and those whose request is
+// served are not.
+func TestServerClosesStalledConnectionsForNewOnes(t *testing.T) {
+	for name, text := range map[string]string{
+		"nothing":  "",
+		"halfHead": "GET /short HTTP/1.1\r\nHo",
+		"halfBody": "POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc",
+		"unread":   "GET /long HTTP/1.1\r\nHost: h\r\n\r\n",
+		"idle":     "GET /short HTTP/1.1\r\nHost: h\r\n\r\n",
+		"served":   "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pipe := bufconn.Listen(4 << 10)
+				table := eviction.NewTable(1)
+				mux := http.NewServeMux()
+				mux.HandleFunc("/short", func(http.ResponseWriter, *http.Request) {})
+				mux.HandleFunc("/body", func(_ http.ResponseWriter, r *http.Request) { _, _ = io.ReadAll(r.Body) })
+				mux.HandleFunc("/long", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 1<<20)) })
+				mux.HandleFunc("/wait", func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
+				server := &http.Server{Handler: eviction.Track(mux), ConnContext: eviction.SaveConnection, ReadHeaderTimeout: time.Minute}
+				go func() { _ = server.Serve(eviction.NewListener(pipe, table, func(string) {})) }()
+				dial := func() net.Conn {
+					c, err := pipe.DialContext(context.Background())
+					require.NoError(t, err)
+					require.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+					synctest.Wait()
+					return c
+				}
+				first := dial()
+				_, err := io.WriteString(first, text)
+				require.NoError(t, err)
+				synctest.Wait()
+				second := dial()
+				_, _, evicted := table.Counts()
+				if name == "served" {
+					require.Zero(t, evicted)
+					_, err := second.Read(make([]byte, 1))
+					require.ErrorIs(t, err, io.EOF)
+				} else {
+					require.EqualValues(t, 1, evicted)
+					_, err = io.WriteString(second, "GET /short HTTP/1.1\r\nHost: h\r\n\r\n")
+					require.NoError(t, err)
+					_, err := second.Read(make([]byte, 1))
+					require.NoError(t, err)
+				}
+				require.NoError(t, first.Close())
+				require.NoError(t, second.Close())
+				require.NoError(t, server.Close())
+				time.Sleep(2 * time.Second) // the handlers end
+			})
+		})
+	}
+}
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -17,6 +19,8 @@
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/entry/callers"
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
+	"github.com/redwingstall/redwingstall/internal/entry/sockets"
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/fleet/peers"
 	"github.com/redwingstall/redwingstall/internal/fleet/presence"
@@ -237,14 +241,27 @@
 // presenceRenewalInterval leaves time for three lost renewals within presenceTTL.
 const presenceRenewalInterval = 2 * time.Second
 
-const adminHeaderTimeout = 2 * time.Second
+const (
+	adminHeaderTimeout = 2 * time.Second
+	// adminTimeout bounds the time of one request of an operator or a load balancer, and
+	// adminIdleTimeout that between two.
+	adminTimeout     = 10 * time.Second
+	adminIdleTimeout = time.Minute
+	// maxAdminHeaderBytes bounds the header of such a request, less 4 KB that net/http adds.
+	maxAdminHeaderBytes = 4 << 10
+)
 
 func (g *Gateway) listen(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := sockets.Listen(address)
 	if err != nil {
 		return errors.Wrap(err, "gateway")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeaderTimeout}
+	listener = eviction.NewListener(listener, eviction.NewTable(adminConnections), func(name string) { g.metrics.Count("admin." + name) })
+	server := &http.Server{
+		Handler: eviction.Track(handler), ConnContext: eviction.SaveConnection, ReadHeaderTimeout: adminHeaderTimeout,
+		ReadTimeout: adminTimeout, WriteTimeout: adminTimeout, IdleTimeout: adminIdleTimeout, MaxHeaderBytes: maxAdminHeaderBytes,
+		ErrorLog: log.New(io.Discard, "", 0), // about clients, without a bound of their rate
+	}
 	g.adminServers = append(g.adminServers, server)
 	g.background.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
