Bound the connections of serve by its memory and descriptors

Its listeners accepted 4,096 connections each whatever the machine, and held further ones back: clients that send nothing kept the others out. The kernel held up to 4 MB for each that does not read, and HTTP/2 took 1 MB for each unread body. limits.memoryBytes and limits.maxDescriptors lower maxConnections and maxBufferedBytes; for a new connection, the one that waits for its client longest is closed. The tests state both settings now; crowd and bounds are as before.

--- a/pkg/app/daemon.go
+++ b/pkg/app/daemon.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"syscall"
@@ -78,8 +79,14 @@
 	return slog.New(slog.NewTextHandler(logs, options))
 }
 
+// softLimitShare is the part of the memory above which the garbage collector runs more often.
+const softLimitShare = 0.8
+
 // NewDaemon creates the components of an instance and opens its listeners.
 func NewDaemon(c *common.Common) (*Daemon, error) {
+	if bytes := c.Settings.Limits.MemoryBytes; bytes > 0 {
+		debug.SetMemoryLimit(int64(softLimitShare * float64(bytes)))
+	}
 	token, err := readToken(c.Settings.Operator.TokenFile)
 	if err != nil {
 		return nil, err
--- a/pkg/caller/buffers.go
+++ b/pkg/caller/buffers.go
@@ -21,7 +21,7 @@
 }
 
 func newBuffers(limits settings.Limits) buffers {
-	half := max(limits.MaxBufferedBytes/2, limits.MaxBodyBytes)
+	half := max(limits.BufferedBytes()/2, limits.MaxBodyBytes)
 	return buffers{memory.NewBudget(half), memory.NewBudget(half)}
 }
 
--- a/pkg/listen/listener.go
+++ b/pkg/listen/listener.go
@@ -8,35 +8,48 @@
 	"crypto/tls"
 	"crypto/x509"
 	"log"
-	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/net/netutil"
 
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
+	"github.com/redwingstall/redwingstall/internal/entry/sockets"
 	"github.com/redwingstall/redwingstall/pkg/common"
 	"github.com/redwingstall/redwingstall/pkg/settings"
 )
 
+const (
+	// maxStreams bounds the concurrent requests of one HTTP/2 connection.
+	maxStreams = 100
+	// receiveBuffer is the size in bytes of what is received of the bodies of an HTTP/2 connection
+	// before it is read. The default is 1 MB for each connection and each stream.
+	receiveBuffer = 64 << 10
+)
+
 // Server serves one handler on one listener.
 type Server struct {
-	name string
-	http *http.Server
-	done chan struct{}
+	name  string
+	http  *http.Server
+	table *eviction.Table
+	done  chan struct{}
 }
 
+// Table returns the open connections.
+func (s *Server) Table() *eviction.Table { return s.table }
+
 // NewServer listens on an address and serves the handler in the background. The
 // name identifies the listener in counters, logs and errors. A nil TLS
 // configuration serves plain HTTP.
 func NewServer(c *common.Common, name, address string, handler http.Handler, config *tls.Config) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := sockets.Listen(address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	listener = netutil.LimitListener(listener, c.Settings.Limits.MaxConnections)
+	table := eviction.NewTable(c.Settings.Limits.ConnectionLimit())
+	listener = eviction.NewListener(listener, table, func(event string) { c.Count("listeners." + name + "." + event) })
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
@@ -45,10 +58,17 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &Server{
-		name: name,
+		name:  name,
+		table: table,
 		http: &http.Server{
-			Handler:           handler,
-			Protocols:         protocols,
+			Handler:     eviction.Track(handler),
+			ConnContext: eviction.SaveConnection,
+			Protocols:   protocols,
+			HTTP2: &http.HTTP2Config{
+				MaxConcurrentStreams:          maxStreams,
+				MaxReceiveBufferPerConnection: receiveBuffer,
+				MaxReceiveBufferPerStream:     receiveBuffer,
+			},
 			MaxHeaderBytes:    c.Settings.Limits.MaxHeaderBytes,
 			ReadHeaderTimeout: c.Settings.Limits.HeaderReadTimeout,
 			IdleTimeout:       c.Settings.Limits.IdleTimeout,
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -73,7 +73,14 @@
 	// of requests that may be sent again, and half the responses of at-most-once services. There
 	// is always room for one of each.
 	MaxBufferedBytes int64 `toml:"maxBufferedBytes"`
-	// MaxConnections bounds the open connections of each listener.
+	// MemoryBytes is the memory of the process. MaxConnections and MaxBufferedBytes are lowered
+	// to what fits into it: a connection for each 256 KiB, and a quarter for bodies.
+	MemoryBytes int64 `toml:"memoryBytes"`
+	// MaxDescriptors is the number of descriptors that the process may open. MaxConnections is
+	// lowered to a quarter of it.
+	MaxDescriptors int `toml:"maxDescriptors"`
+	// MaxConnections bounds the open connections of each listener. Beyond it, the one that waits
+	// longest for its client is closed for a new one.
 	MaxConnections int `toml:"maxConnections"`
 	// HeaderReadTimeout bounds the time to read the header of a request.
 	HeaderReadTimeout time.Duration `toml:"headerReadTimeout"`
@@ -87,6 +94,36 @@
 	ShutdownTimeout time.Duration `toml:"shutdownTimeout"`
 }
 
+const (
+	// bytesPerConnection is the memory for each connection from which the bound of their number
+	// is derived, and connectionDescriptors the part of the descriptors, as a divisor: the
+	// connections of callers and of other instances, and as many to servers and other instances.
+	bytesPerConnection    = 256 * bytesPerKiB
+	connectionDescriptors = 4
+	// bufferedMemory is the part of the memory for bodies, as a divisor.
+	bufferedMemory = 4
+)
+
+// ConnectionLimit returns the bound of the open connections of each listener.
+func (l Limits) ConnectionLimit() int {
+	limit := l.MaxConnections
+	if l.MemoryBytes > 0 {
+		limit = min(limit, int(l.MemoryBytes/bytesPerConnection))
+	}
+	if l.MaxDescriptors > 0 {
+		limit = min(limit, l.MaxDescriptors/connectionDescriptors)
+	}
+	return max(limit, 1)
+}
+
+// BufferedBytes returns the bound of the bodies that an instance holds in all.
+func (l Limits) BufferedBytes() int64 {
+	if l.MemoryBytes <= 0 {
+		return l.MaxBufferedBytes
+	}
+	return min(l.MaxBufferedBytes, l.MemoryBytes/bufferedMemory)
+}
+
 // Timing holds the durations of leases, voting rounds and failure detection, and
 // the bounds on clock errors.
 type Timing struct {
@@ -180,6 +217,8 @@
 			MaxHeaderBytes:    16 * bytesPerKiB,
 			MaxBodyBytes:      4 * bytesPerMiB,
 			MaxBufferedBytes:  256 * bytesPerMiB,
+			MemoryBytes:       1024 * bytesPerMiB,
+			MaxDescriptors:    16384,
 			MaxConnections:    4096,
 			HeaderReadTimeout: 5 * time.Second,
 			IdleTimeout:       time.Minute,
@@ -327,6 +366,8 @@
 		{"limits.maxHeaderBytes", int64(s.Limits.MaxHeaderBytes)},
 		{"limits.maxBodyBytes", s.Limits.MaxBodyBytes},
 		{"limits.maxBufferedBytes", s.Limits.MaxBufferedBytes},
+		{"limits.memoryBytes", s.Limits.MemoryBytes},
+		{"limits.maxDescriptors", int64(s.Limits.MaxDescriptors)},
 		{"limits.maxConnections", int64(s.Limits.MaxConnections)},
 		{"policy.movesPerTick", int64(s.Policy.MovesPerTick)},
 		{"policy.journalMaxAnswerBytes", int64(s.Policy.JournalMaxAnswerBytes)},
--- a/test/slowclients/serve_test.go
+++ b/test/slowclients/serve_test.go
@@ -23,8 +23,8 @@
 	serveBackend     = "127.86.0.2:8746"
 )
 
-// serveSettings configures the instance. Its limits of connections have their defaults.
-const serveSettings = `
+// serveSettings configures the instance. Its other limits have their defaults.
+var serveSettings = `
 name = "entry1"
 failureDomain = "a"
 failureDomains = ["a"]
@@ -37,7 +37,8 @@
 liveList = "` + serveLiveList + `"
 [operator]
 tokenFile = "TOKENFILE"
-`
+[limits]
+` + fmt.Sprintf("memoryBytes = %d\nmaxDescriptors = %d\n", memoryMB<<20, maxFDs)
 
 const serveTemplate = `
 name = "t"
