Cut off callers of serve that hold a server's slot without reading

A response is passed on as it is read, so a caller that does not read held a slot of its server without end: 64 of them kept all others out. A caller that needs more than 1 s of waiting for 32 KB is cut off while others wait for the slot or for memory, and after 20 s in any case. A body has to be read by the deadline of its request; before, one sent byte by byte had no end. If there is no memory for a body, the connection that holds the most without progress is closed.

--- a/internal/entry/eviction/listener.go
+++ b/internal/entry/eviction/listener.go
@@ -138,6 +138,12 @@
 	}
 }
 
+// EvictLargest is [Table.EvictLargest] for the table of a request's connection.
+func EvictLargest(ctx context.Context, now time.Time, stalled time.Duration) bool {
+	c, ok := ctx.Value(connectionKey{}).(*connection)
+	return ok && c.entry.table.EvictLargest(now, stalled)
+}
+
 // trackedBody is a request body. From its first read to its end, the request waits for the client:
 // a client that sends single bytes makes no progress by them.
 type trackedBody struct {
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -320,6 +320,14 @@
 	return rows, p.shared.len()
 }
 
+// IsWaitedFor reports whether requests wait for a slot of a server.
+func (p *Pool) IsWaitedFor(server string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[server]
+	return p.shared.len() > 0 || s != nil && s.queue.len() > 0
+}
+
 // Cost estimates the seconds that a further request takes in the pool. Entry
 // instances compare pools by it. It is negative if no server is open.
 func (p *Pool) Cost() float64 {
--- a/pkg/caller/forwarded.go
+++ b/pkg/caller/forwarded.go
@@ -36,7 +36,7 @@
 		q, invalid := r.parseForwarded(incoming)
 		if invalid == nil {
 			defer q.release()
-			invalid = q.readBody(incoming, r.common.Settings.Limits, r.buffers.requests)
+			invalid = r.readBody(w, incoming, q)
 		}
 		if invalid != nil {
 			r.writeRefusal(w, refusal{redwingstall.OutcomeNotRun, invalid.reason, invalid.status, invalid.detail})
@@ -62,7 +62,9 @@
 	defer response.Body.Close()
 	markResponseStarted(ctx)
 	writeHeader(w, response)
-	if err := r.copyBody(ctx, w, response, newProgress(response)); err != nil {
+	progress := newProgress(response)
+	progress.pool = pool
+	if err := r.copyBody(ctx, w, response, progress); err != nil {
 		r.common.Count("answers.cutAtHome")
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/caller/relay.go
+++ b/pkg/caller/relay.go
@@ -102,12 +102,14 @@
 // errCallerConnection marks errors of the caller's connection.
 var errCallerConnection = errors.New("caller: connection closed by the caller")
 
-// copyBody copies the body until its end, an error, or a stall. Only waiting for the
-// server counts as a stall: a slow caller slows the server down by flow control.
+// copyBody copies the body until its end, an error, or a stall of the server. A slow caller slows
+// the server down by flow control, and is cut off while others wait for the server's slot.
 func (r *Router) copyBody(ctx context.Context, w http.ResponseWriter, response *http.Response, p *downloadProgress) error {
 	stallTimer := time.AfterFunc(r.common.Settings.Policy.StallTimeout, func() { _ = response.Body.Close() })
 	defer stallTimer.Stop()
 	buffer := make([]byte, copyBufferBytes)
+	server := response.Header.Get(redwingstall.HeaderServer)
+	w = newStallWriter(w, func() bool { return r.isWaitedFor(p.pool, server) }, r.common.Count)
 	flusher := http.NewResponseController(w)
 	for {
 		stallTimer.Reset(r.common.Settings.Policy.StallTimeout)
--- a/pkg/caller/request.go
+++ b/pkg/caller/request.go
@@ -5,11 +5,13 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"regexp"
 	"strings"
 	"time"
@@ -18,6 +20,7 @@
 	"github.com/google/uuid"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
 	"github.com/redwingstall/redwingstall/internal/entry/memory"
 	"github.com/redwingstall/redwingstall/pkg/settings"
 	"github.com/redwingstall/redwingstall/pkg/templates"
@@ -58,6 +61,8 @@
 	streamedBody *singleUseBody
 	bodyLength   int64
 	reserved     *memory.Reservation
+	// connection is the context of the caller's connection, for which the body is held.
+	connection context.Context
 }
 
 // requestError describes why a request is invalid.
@@ -171,8 +176,13 @@
 		if q.reserved = budget.TryReserve(q.account, length); q.reserved == nil {
 			return errNoMemory
 		}
+		q.connection = r.Context()
+		eviction.Hold(q.connection, length)
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, limits.MaxBodyBytes+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &requestError{http.StatusRequestTimeout, "bodyLate", "the body was not sent before the deadline"}
+	}
 	if err != nil {
 		return &requestError{http.StatusBadRequest, "bodyCut", "the body could not be read"}
 	}
@@ -181,12 +191,20 @@
 	}
 	q.bufferedBody = body
 	q.bodyLength = int64(len(body))
-	q.reserved.Keep(q.bodyLength)
+	if q.reserved != nil {
+		eviction.Hold(q.connection, q.bodyLength-length)
+		q.reserved.Keep(q.bodyLength)
+	}
 	return nil
 }
 
 // release ends the reservation of the memory for the body.
-func (q *request) release() { q.reserved.Release() }
+func (q *request) release() {
+	if q.reserved != nil {
+		eviction.Hold(q.connection, -q.reserved.Bytes())
+		q.reserved.Release()
+	}
+}
 
 // body returns a reader of the body for one attempt.
 func (q *request) body() io.Reader {
--- a/pkg/caller/router.go
+++ b/pkg/caller/router.go
@@ -11,6 +11,7 @@
 	"github.com/alexedwards/flow"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
 	"github.com/redwingstall/redwingstall/pkg/backend"
 	"github.com/redwingstall/redwingstall/pkg/common"
 	"github.com/redwingstall/redwingstall/pkg/home"
@@ -125,7 +126,7 @@
 	q, invalid := parseRequest(incoming, r.config.View.Snapshot().Service, r.common.Settings.Policy, r.now())
 	if invalid == nil {
 		defer q.release()
-		invalid = q.readBody(incoming, r.common.Settings.Limits, r.buffers.requests)
+		invalid = r.readBody(w, incoming, q)
 	}
 	if invalid != nil {
 		r.writeRefusal(w, refusal{redwingstall.OutcomeNotRun, invalid.reason, invalid.status, invalid.detail})
@@ -152,6 +153,21 @@
 	r.relayResponse(ctx, w, q, response)
 }
 
+// readBody reads the body of a request until its deadline. If there is no memory for it, the
+// connection that holds the most and has made no progress is closed for later ones.
+func (r *Router) readBody(w http.ResponseWriter, incoming *http.Request, q *request) *requestError {
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(q.deadline)
+	invalid := q.readBody(incoming, r.common.Settings.Limits, r.buffers.requests)
+	switch {
+	case invalid == nil:
+		_ = controller.SetReadDeadline(time.Time{})
+	case invalid == errNoMemory:
+		eviction.EvictLargest(incoming.Context(), time.Now(), slowCallerTime)
+	}
+	return invalid
+}
+
 // responseContext returns a context that ends with the caller's connection. It also
 // ends with the deadline, but only until a response has started, since a download
 // may take longer than the deadline.
--- a/pkg/home/manager.go
+++ b/pkg/home/manager.go
@@ -236,3 +236,10 @@
 	}
 	return p.admission.Cost()
 }
+
+// IsWaitedFor reports whether requests wait for a slot of a server, if this instance is the home
+// of its pool.
+func (m *Manager) IsWaitedFor(pool, server string) bool {
+	p := m.findPool(pool)
+	return p != nil && p.admission.IsWaitedFor(server)
+}
