--- a/pkg/caller/buffers.go
+++ b/pkg/caller/buffers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
 	"github.com/redwingstall/redwingstall/internal/entry/memory"
 	"github.com/redwingstall/redwingstall/internal/wire/http1"
 	"github.com/redwingstall/redwingstall/pkg/settings"
@@ -56,10 +57,19 @@
 type releasingBody struct {
 	io.Reader
 	reserved *memory.Reservation
+	// connection is the context of the connection that the memory is held for.
+	connection context.Context
+}
+
+// newReleasingBody returns a body in reserved memory, for the client of a context.
+func newReleasingBody(ctx context.Context, body io.Reader, reserved *memory.Reservation) releasingBody {
+	eviction.Hold(ctx, reserved.Bytes())
+	return releasingBody{body, reserved, ctx}
 }
 
 // Close releases the memory.
 func (b releasingBody) Close() error {
+	eviction.Hold(b.connection, -b.reserved.Bytes())
 	b.reserved.Release()
 	return nil
 }
--- a/pkg/caller/journaled.go
+++ b/pkg/caller/journaled.go
@@ -134,7 +134,7 @@
 		return r.config.Journal.Complete(ctx, entry, attempt, recorded)
 	})
 	answer := responseFromRecord(q, recorded, response.Header.Get(redwingstall.HeaderServer))
-	answer.Body = releasingBody{answer.Body, reserved}
+	answer.Body = newReleasingBody(ctx, answer.Body, reserved)
 	return answer, nil
 }
 
--- a/pkg/caller/relay.go
+++ b/pkg/caller/relay.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
 )
 
 // copyBufferBytes is the size of the buffer that copies a response body.
@@ -108,6 +109,8 @@
 	stallTimer := time.AfterFunc(r.common.Settings.Policy.StallTimeout, func() { _ = response.Body.Close() })
 	defer stallTimer.Stop()
 	buffer := make([]byte, copyBufferBytes)
+	eviction.Hold(ctx, copyBufferBytes)
+	defer eviction.Hold(ctx, -copyBufferBytes)
 	server := response.Header.Get(redwingstall.HeaderServer)
 	w = newStallWriter(w, func() bool { return r.isWaitedFor(p.pool, server) }, r.common.Count)
 	flusher := http.NewResponseController(w)
--- a/pkg/listen/listener.go
+++ b/pkg/listen/listener.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/redwingstall/redwingstall/internal/entry/eviction"
 	"github.com/redwingstall/redwingstall/internal/entry/sockets"
@@ -37,9 +38,6 @@
 	done  chan struct{}
 }
 
-// Table returns the open connections.
-func (s *Server) Table() *eviction.Table { return s.table }
-
 // NewServer listens on an address and serves the handler in the background. The
 // name identifies the listener in counters, logs and errors. A nil TLS
 // configuration serves plain HTTP.
@@ -80,9 +78,45 @@
 		defer close(server.done)
 		_ = server.http.Serve(listener) // always returns ErrServerClosed or the error of a closed listener
 	}()
+	go server.report(c)
 	return server, nil
 }
 
+const (
+	// reportInterval is the time between two updates of the metrics of connections, and
+	// reportLogInterval the least time between two log lines about closed ones.
+	reportInterval    = time.Second
+	reportLogInterval = 10 * time.Second
+)
+
+// report updates the metrics of connections until the server has stopped. It logs which client
+// holds the most if connections were closed for others.
+func (s *Server) report(c *common.Common) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	logged, loggedAt := int64(0), time.Time{}
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		open, waiting, evicted := s.table.Counts()
+		largest := s.table.Largest(now)
+		for name, value := range map[string]int64{
+			"open": int64(open), "waitedFor": int64(waiting), "largest.bytes": largest.Bytes, "largest.stalledMillis": largest.Stalled.Milliseconds(),
+		} {
+			metrics.GetOrRegisterGauge("listeners."+s.name+"."+name, c.Metrics).Update(value)
+		}
+		if evicted > logged && now.Sub(loggedAt) >= reportLogInterval {
+			c.Log.Warn("connections closed for others", "listener", s.name, "closed", evicted-logged, "open", open, "limit", s.table.Limit(),
+				"waitedFor", waiting, "largestClient", largest.Client, "largestBytes", largest.Bytes, "largestStalledMillis", largest.Stalled.Milliseconds())
+			logged, loggedAt = evicted, now
+		}
+	}
+}
+
 // Done returns a channel that is closed when the server has stopped accepting
 // connections.
 func (s *Server) Done() <-chan struct{} { return s.done }
