--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/settings"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 
@@ -61,3 +62,23 @@
 	g.view.Apply(time.Now(), []redwingstall.Event{redwingstall.EvacuationChanged{FailureDomain: "x", IsActive: true}}, false)
 	require.Equal(t, before+1, g.instances().Version, "the same instances")
 }
+
+// Guards against client connections that take the descriptors or the memory which the rest needs.
+func TestBoundsOfConnectionsFollowFromDescriptorsAndMemory(t *testing.T) {
+	for name, c := range map[string]struct {
+		node            settings.Node
+		clients, server int
+	}{
+		"byDescriptors":  {settings.Node{MaxDescriptors: 2870, MemoryBytes: 1 << 30}, 1435, 717},
+		"byMemory":       {settings.Node{MaxDescriptors: 2870, MemoryBytes: 136 << 20}, 544, 717},
+		"bySetting":      {settings.Node{MaxDescriptors: 2870, MemoryBytes: 136 << 20, MaxClientConnections: 900}, 900, 717},
+		"settingTooHigh": {settings.Node{MaxDescriptors: 2870, MaxClientConnections: 5000}, 1435, 717},
+		"least":          {settings.Node{MaxDescriptors: 20}, minClients, 5},
+		"none":           {settings.Node{}, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.clients, maxClients(c.node))
+			require.Equal(t, c.server, maxServerConnections(c.node))
+		})
+	}
+}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -74,6 +74,21 @@
 	return lines
 }
 
+// Guards against limits that exceed what the machine has, and against a machine with the default limits
+// that gets less than before.
+func TestLimitsFollowFromTheMachine(t *testing.T) {
+	l := settings.Default().Limits
+	require.Equal(t, l.MaxConnections, l.ConnectionLimit())
+	require.Equal(t, l.MaxBufferedBytes, l.BufferedBytes())
+	l.MemoryBytes = 128 << 20
+	require.Equal(t, 512, l.ConnectionLimit())
+	require.EqualValues(t, 32<<20, l.BufferedBytes())
+	l.MaxDescriptors = 400
+	require.Equal(t, 100, l.ConnectionLimit())
+	l.MaxConnections = 50
+	require.Equal(t, 50, l.ConnectionLimit())
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add("name = \"a\"\n[listen]\ncallers = \"127.0.0.1:1\"\n")
 	f.Add("[[tls]]\n")
