Count neither a wait for memory nor unread responses for the wrong side

A pipelined request that waited for its place could get 408, as the time for its header ran meanwhile. A client that sends while it does not read its response counted as making progress, and was never the one to be closed.

--- a/internal/entry/callers/connection.go
+++ b/internal/entry/callers/connection.go
@@ -106,7 +106,7 @@
 	return c
 }
 
-// stepReader records the progress of a client that sends.
+// stepReader records the progress of a client that sends, unless it has to read first.
 type stepReader struct {
 	source     io.Reader
 	connection *connection
@@ -119,11 +119,21 @@
 	n, err := r.source.Read(p)
 	if r.received += n; r.received >= eviction.StepBytes {
 		r.received = 0
-		r.connection.entry.Progress(time.Now())
+		r.connection.recordReceived()
 	}
 	return n, err
 }
 
+// recordReceived records a step of the client, unless a response is written to it: what it sends
+// meanwhile is no progress of that.
+func (c *connection) recordReceived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isWriting {
+		c.entry.Progress(time.Now())
+	}
+}
+
 // updateEntry records whether the connection waits for its client. The caller holds the lock.
 func (c *connection) updateEntry() {
 	c.entry.SetWaiting(time.Now(), c.pending == 0 || c.isWriting || c.isStreaming)
@@ -202,8 +212,11 @@
 			return isDisconnect(err) || c.hasPending() && c.awaitLastAnswer(last, closed)
 		}
 		place := &reservation{server: c.server, entry: c.entry}
-		if c.hasPending() && !place.reserve(pipelinedMemory) && !waitWritten(last, closed) {
-			return true
+		if c.hasPending() && !place.reserve(pipelinedMemory) {
+			if !waitWritten(last, closed) {
+				return true
+			}
+			_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // the client did not cause the wait
 		}
 		memory := &reservation{server: c.server, entry: c.entry}
 		head, err := readHead(c.reader, limits.HeaderBytes, memory)
--- a/internal/entry/callers/slow_test.go
+++ b/internal/entry/callers/slow_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
 	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
 )
 
@@ -159,3 +160,40 @@
 		require.Equal(t, http.StatusOK, post())
 	})
 }
+
+// Guards against 408 for a request that waited for its place in the pipeline longer than a client
+// has for a header.
+func TestWaitForAPlaceIsNotTheClientsTime(t *testing.T) {
+	serve(t, defaultLimits, func(t *testing.T, f *fixture) {
+		f.server.buffered.Store(testMaxBuffered)
+		c, r := f.dial()
+		send(t, c, "GET /wait4000ms HTTP/1.1\r\nHost: h\r\n\r\nGET /b")
+		status, _, _ := answer(t, r)
+		require.Equal(t, http.StatusOK, status)
+		time.Sleep(10 * time.Millisecond)
+		send(t, c, " HTTP/1.1\r\nHost: h\r\n\r\n")
+		status, _, _ = answer(t, r)
+		require.Equal(t, http.StatusOK, status)
+	})
+}
+
+// Guards against a client that sends without end in place of reading its response, and so never
+// counts as stalled.
+func TestSendingIsNoProgressOfAResponse(t *testing.T) {
+	serve(t, defaultLimits, func(t *testing.T, f *fixture) {
+		c, _ := f.dial()
+		send(t, c, "GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		synctest.Wait()
+		f.server.mu.Lock()
+		for open := range f.server.connections {
+			open.entry.Hold(1)
+		}
+		f.server.mu.Unlock()
+		began := time.Now()
+		for range 20 {
+			send(t, c, strings.Repeat("x", eviction.StepBytes))
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.GreaterOrEqual(t, f.server.Largest(time.Now()).Stalled, time.Since(began))
+	})
+}
