--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -18,6 +20,8 @@
 	"github.com/redwingstall/redwingstall/internal/access/accounts"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/entry/callers"
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
+	"github.com/redwingstall/redwingstall/internal/entry/sockets"
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
 	"github.com/redwingstall/redwingstall/internal/fleet/peers"
 	"github.com/redwingstall/redwingstall/internal/fleet/presence"
@@ -53,7 +57,8 @@
 	// garbage collector has not freed yet need the other half.
 	requestShare  = 4
 	responseShare = 4
-	// connectionMemory is what an open connection of a client takes, in bytes.
+	// connectionMemory is what an open connection of a client takes, in bytes (25 KB were measured
+	// with garbage).
 	connectionMemory = 16 << 10
 	// softLimitShare is the part of the memory above which the garbage collector runs more often.
 	softLimitShare = 0.8
@@ -101,6 +106,7 @@
 		debug.SetMemoryLimit(int64(softLimitShare * float64(node.MemoryBytes)))
 	}
 	g.pool = backends.NewPool(platform.Protocol, node.MemoryBytes/responseShare, g.metrics.Count)
+	g.pool.LimitConnections(maxServerConnections(node))
 	var err error
 	g.exchange, err = peers.NewExchange(node, g.view, g.estimator, g.metrics, g.metrics.Add, log)
 	if err != nil {
@@ -140,6 +146,7 @@
 		Log:              log,
 		MaxBuffered:      node.MemoryBytes / requestShare,
 		ConnectionMemory: connectionMemory,
+		MaxConnections:   maxClients(node),
 		IsShortOfMemory:  g.pool.IsShortOfMemory,
 	})
 	if err != nil {
@@ -252,14 +259,27 @@
 // presenceRenewalInterval leaves time for three lost renewals within presenceTTL.
 const presenceRenewalInterval = 2 * time.Second
 
-const adminHeaderTimeout = 2 * time.Second
+const (
+	adminHeaderTimeout = 2 * time.Second
+	// adminTimeout bounds the time of one request of an operator or a load balancer, and
+	// adminIdleTimeout that between two.
+	adminTimeout     = 10 * time.Second
+	adminIdleTimeout = time.Minute
+	// maxAdminHeaderBytes bounds the header of such a request, less 4 KB that net/http adds.
+	maxAdminHeaderBytes = 4 << 10
+)
 
 func (g *Gateway) listen(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := sockets.Listen(address)
 	if err != nil {
 		return errors.Wrap(err, "gateway")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeaderTimeout}
+	listener = eviction.NewListener(listener, eviction.NewTable(adminConnections), func(name string) { g.metrics.Count("admin." + name) })
+	server := &http.Server{
+		Handler: eviction.Track(handler), ConnContext: eviction.SaveConnection, ReadHeaderTimeout: adminHeaderTimeout,
+		ReadTimeout: adminTimeout, WriteTimeout: adminTimeout, IdleTimeout: adminIdleTimeout, MaxHeaderBytes: maxAdminHeaderBytes,
+		ErrorLog: log.New(io.Discard, "", 0), // about clients, without a bound of their rate
+	}
 	g.adminServers = append(g.adminServers, server)
 	g.background.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -399,9 +419,11 @@
 func (g *Gateway) runSweeper(ctx context.Context) {
 	ticker := time.NewTicker(expiryInterval)
 	defer ticker.Stop()
+	clients := &clientReport{}
 	for {
 		select {
-		case <-ticker.C:
+		case now := <-ticker.C:
+			g.reportClients(now, clients)
 			g.pool.CloseExpired()
 			s := g.view.Snapshot()
 			isListed := func(id string) bool { return s.ByID[id] != nil }
--- a/pkg/listen/listener.go
+++ b/pkg/listen/listener.go
@@ -8,35 +8,46 @@
 	"crypto/tls"
 	"crypto/x509"
 	"log"
-	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/net/netutil"
+	"github.com/rcrowley/go-metrics"
 
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
+	"github.com/redwingstall/redwingstall/internal/entry/sockets"
 	"github.com/redwingstall/redwingstall/pkg/common"
 	"github.com/redwingstall/redwingstall/pkg/settings"
 )
 
+const (
+	// maxStreams bounds the concurrent requests of one HTTP/2 connection.
+	maxStreams = 100
+	// receiveBuffer is the size in bytes of what is received of the bodies of an HTTP/2 connection
+	// before it is read. The default is 1 MB for each connection and each stream.
+	receiveBuffer = 64 << 10
+)
+
 // Server serves one handler on one listener.
 type Server struct {
-	name string
-	http *http.Server
-	done chan struct{}
+	name  string
+	http  *http.Server
+	table *eviction.Table
+	done  chan struct{}
 }
 
 // NewServer listens on an address and serves the handler in the background. The
 // name identifies the listener in counters, logs and errors. A nil TLS
 // configuration serves plain HTTP.
 func NewServer(c *common.Common, name, address string, handler http.Handler, config *tls.Config) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := sockets.Listen(address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	listener = netutil.LimitListener(listener, c.Settings.Limits.MaxConnections)
+	table := eviction.NewTable(c.Settings.Limits.ConnectionLimit())
+	listener = eviction.NewListener(listener, table, func(event string) { c.Count("listeners." + name + "." + event) })
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
@@ -45,10 +56,17 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	server := &Server{
-		name: name,
+		name:  name,
+		table: table,
 		http: &http.Server{
-			Handler:           handler,
-			Protocols:         protocols,
+			Handler:     eviction.Track(handler),
+			ConnContext: eviction.SaveConnection,
+			Protocols:   protocols,
+			HTTP2: &http.HTTP2Config{
+				MaxConcurrentStreams:          maxStreams,
+				MaxReceiveBufferPerConnection: receiveBuffer,
+				MaxReceiveBufferPerStream:     receiveBuffer,
+			},
 			MaxHeaderBytes:    c.Settings.Limits.MaxHeaderBytes,
 			ReadHeaderTimeout: c.Settings.Limits.HeaderReadTimeout,
 			IdleTimeout:       c.Settings.Limits.IdleTimeout,
@@ -60,9 +78,45 @@
 		defer close(server.done)
 		_ = server.http.Serve(listener) // always returns ErrServerClosed or the error of a closed listener
 	}()
+	go server.report(c)
 	return server, nil
 }
 
+const (
+	// reportInterval is the time between two updates of the metrics of connections, and
+	// reportLogInterval the least time between two log lines about closed ones.
+	reportInterval    = time.Second
+	reportLogInterval = 10 * time.Second
+)
+
+// report updates the metrics of connections until the server has stopped. It logs which client
+// holds the most if connections were closed for others.
+func (s *Server) report(c *common.Common) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	logged, loggedAt := int64(0), time.Time{}
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		open, waiting, evicted := s.table.Counts()
+		largest := s.table.Largest(now)
+		for name, value := range map[string]int64{
+			"open": int64(open), "waitedFor": int64(waiting), "largest.bytes": largest.Bytes, "largest.stalledMillis": largest.Stalled.Milliseconds(),
+		} {
+			metrics.GetOrRegisterGauge("listeners."+s.name+"."+name, c.Metrics).Update(value)
+		}
+		if evicted > logged && now.Sub(loggedAt) >= reportLogInterval {
+			c.Log.Warn("connections closed for others", "listener", s.name, "closed", evicted-logged, "open", open, "limit", s.table.Limit(),
+				"waitedFor", waiting, "largestClient", largest.Client, "largestBytes", largest.Bytes, "largestStalledMillis", largest.Stalled.Milliseconds())
+			logged, loggedAt = evicted, now
+		}
+	}
+}
+
 // Done returns a channel that is closed when the server has stopped accepting
 // connections.
 func (s *Server) Done() <-chan struct{} { return s.done }
