--- a/internal/ownership/assign/simulation_test.go
+++ b/internal/ownership/assign/simulation_test.go
@@ -27,7 +27,7 @@
 const (
 	sampleKeys     = 128
 	simulationStep = 25 * time.Millisecond
-	simulatedTime  = 60 * time.Second
+	simulatedTime  = 60 * time.Second // unless a test sets another one
 )
 
 // Leaders use one of two timings in each term.
@@ -142,6 +142,7 @@
 	// much later than due a command may be sent.
 	serverFaultRate float64
 	resignRate      float64
+	duration        time.Duration
 	maxSendDelay    time.Duration
 	recoveries      int
 	continued       int
@@ -169,7 +170,7 @@
 }
 
 func newSimulation(seed uint64) *simulation {
-	m := &simulation{random: rand.New(rand.NewPCG(seed, 7)), era: 1, stored: map[int]storedMap{}, recoveryRate: 0.04, restartRate: 0.02, leaderLossRate: 0.05, slowWriteShare: 0.2, serverFaultRate: 1, resignRate: 0.03, maxSendDelay: 1500 * time.Millisecond}
+	m := &simulation{random: rand.New(rand.NewPCG(seed, 7)), era: 1, stored: map[int]storedMap{}, recoveryRate: 0.04, restartRate: 0.02, leaderLossRate: 0.05, slowWriteShare: 0.2, serverFaultRate: 1, resignRate: 0.03, duration: simulatedTime, maxSendDelay: 1500 * time.Millisecond}
 	for i := range 5 {
 		m.servers = append(m.servers, &fakeServer{id: fmt.Sprintf("s%d", i), born: 1, isUp: true, isListed: true, listedStart: 1, clockDrift: m.random.Float64() * maxClockDrift})
 	}
@@ -188,7 +189,7 @@
 }
 
 func (m *simulation) run() {
-	for ; m.now < simulatedTime && m.violation == ""; m.now += simulationStep {
+	for ; m.now < m.duration && m.violation == ""; m.now += simulationStep {
 		m.runScheduled()
 		m.injectFaults()
 		m.injectStoreFaults()
@@ -690,13 +691,14 @@
 func TestSimulationDetectsDecisionsByAnEarlierEra(t *testing.T) {
 	for name, injectBug := range map[string]func(m *simulation){
 		"fencing tokens of an earlier era are issued again": func(m *simulation) {
-			m.reusesFenceOfEra, m.recoveryRate, m.restartRate, m.leaderLossRate, m.resignRate = true, 0.08, 0.1, 0.3, 0
+			m.reusesFenceOfEra, m.recoveryRate, m.restartRate, m.leaderLossRate, m.resignRate = true, 0.05, 0.1, 0.03, 0
+			m.slowWriteShare, m.serverFaultRate, m.duration = 0, 5, 4*simulatedTime
 		},
 		"the owners of an earlier era are believed":              func(m *simulation) { m.believesEarlierEra = true },
 		"a leader continues although its lease may have expired": func(m *simulation) { m.continuesUncertain = true },
 		"a leader continues with a map that it never stored": func(m *simulation) {
 			m.continuesUnstored, m.recoveryRate, m.leaderLossRate, m.restartRate, m.resignRate = true, 0.12, 1, 0, 0
-			m.slowWriteShare, m.serverFaultRate = 0.1, 0.2
+			m.slowWriteShare, m.serverFaultRate, m.duration = 0.1, 0.2, 4*simulatedTime
 		},
 	} {
 		require.True(t, findsViolation(injectBug), name)
