--- a/internal/node/features/features.go
+++ b/internal/node/features/features.go
@@ -12,7 +12,8 @@
 
 // The modes of a feature.
 const (
-	// Auto uses the feature where the contracts or the configuration call for it.
+	// Auto uses the feature where the contracts or the configuration call for it. Admission is
+	// used only if it is [On].
 	Auto Mode = "auto"
 	On   Mode = "on"
 	Off  Mode = "off"
@@ -59,8 +60,9 @@
 	isCalledFor := modes.IsUnderPressure || hasPatientCallers(configuration)
 	return Set{
 		KeyRecovery: modes.KeyRecovery.resolve(isCalledFor),
-		Admission:   modes.Admission.resolve(isCalledFor),
-		EvenLoad:    modes.EvenLoad.resolve(isCalledFor),
+		// Played on the contended deployments, callers got less with it than without it.
+		Admission: modes.Admission == On,
+		EvenLoad:  modes.EvenLoad.resolve(isCalledFor),
 	}
 }
 
