Take a successor for proof only at the owner's one known address

A wrong entry under the owner's ID with the address of a live server led the release there: the server answers 421, is listed there and names itself, while the owner serves on. The address must now be the only one at which the store ever listed the owner's process.

A leader that follows a resignation waits as long as the resigned one would have waited for its own predecessors.

Both were found in review.

--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -200,8 +200,12 @@
 	}
 	lease, longest := timing.predecessorTTLs(stored)
 	wait := max(lease+timing.GrantTimeout, withDrift(stored.PredecessorsWithin))
-	if stored.IsResigned || len(stored.Ranges) == 0 {
+	switch {
+	case len(stored.Ranges) == 0:
 		wait = 0
+	case stored.IsResigned:
+		// The leader that resigned sends nothing more, but those before it may.
+		wait = withDrift(stored.PredecessorsWithin)
 	}
 	a.predecessorDoneAt = now + wait
 	if len(stored.Ranges) > 0 {
--- a/internal/ownership/assign/release_test.go
+++ b/internal/ownership/assign/release_test.go
@@ -198,3 +198,13 @@
 	b.addresses["s00"] = "elsewhere"
 	require.Equal(t, 1, count(b.now+50*time.Millisecond))
 }
+
+// Guards against confirmed releases that count while a leader before the one that resigned may
+// still send grants: a server that confirms and starts anew would accept a late one.
+func TestResignationDoesNotEndTheWaitForEarlierLeaders(t *testing.T) {
+	m := shardmap.Map{IsResigned: true, Term: 2, PredecessorsWithin: 3 * time.Second, LeaderLease: 3 * time.Second, LongestGrant: 5 * time.Second}
+	m.Divide([]shardmap.Server{{ID: "s0", StartedAtMillis: 1}})
+	require.GreaterOrEqual(t, NewAssigner(time.Minute, simulationTiming, m).predecessorDoneAt, time.Minute+3*time.Second)
+	m.PredecessorsWithin = 0
+	require.Equal(t, time.Minute, NewAssigner(time.Minute, simulationTiming, m).predecessorDoneAt)
+}
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -157,6 +157,8 @@
 	// superseded are the keys of maps of earlier eras, which the first write removes.
 	superseded []string
 	addresses  map[string]string
+	// processAddresses are those that the store listed the processes at.
+	processAddresses processAddresses
 	// releasedSince is since when ranges have no owner, by the fencing token of the release.
 	releasedSince  map[int64]time.Duration
 	usageLoggedAt  time.Duration
@@ -393,6 +395,7 @@
 		}
 		m := s.assigner.Map().Clone()
 		m.IsResigned = true
+		s.assigner.SetEnds(l.Clock(), &m)
 		_, err := l.writeMap(ctx, name, s.position, m, nil)
 		l.Log.Info("resigned", "service", name, "revision", s.position.Revision, "error", errorText(err))
 	}
@@ -460,6 +463,7 @@
 	now := time.Now()
 	for _, server := range s.Servers[name] {
 		state.addresses[server.ID] = server.Address
+		state.processAddresses.add(server.Process(), server.Address)
 		cluster.Servers[server.ID] = assign.Server{
 			Server:   server.Process(),
 			Address:  server.Address,
@@ -659,7 +663,7 @@
 	result.IsFenced = errors.Is(err, redwingstall.ErrFenced)
 	result.IsUnanswered = err != nil && !result.IsFenced
 	result.IsUnsent = errors.Is(err, redwingstall.ErrNotSent)
-	result.IsReplaced = isOtherServer && command.Kind == assign.CommandRelease && l.features().KeyRecovery && l.isReplaced(ctx, command)
+	result.IsReplaced = isOtherServer && command.Kind == assign.CommandRelease && l.features().KeyRecovery && l.isReplaced(ctx, name, command)
 	if err != nil || command.Kind == assign.CommandRelease {
 		l.Log.Info("order", "kind", command.Kind, "service", name, "server", command.Owner.ID, "from", command.Keys.From, "to", command.Keys.To,
 			"fence", command.Fence, "handover", result.Handover != "", "isReplaced", result.IsReplaced, "error", errorText(err))
