Reject responses with an invalid status or framing

Cause: http.ReadResponse takes any status of three characters that strconv.Atoi reads, and neither path checked its range. The platform's path passed 600 to 999 on, and skipped 000 to 099, +20 and 101 as informational, so that a request waited until its deadline or the next bytes counted as its response. The path of serve passed all of them on, and a refusal with the status 600 counted as proof that a request had not run. net/http hands the connection of a 101 to its caller, and no context ends a read from it: orders and calls of the store did not return at their deadline.

Informational responses are bounded to 8. The attempt may have run: 502 for what runs at most once, another attempt within the budget for the rest. The server has failed. On serve, the status for such an attempt is 502 instead of 504.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -138,6 +138,8 @@
 	ReasonMemoryRevoked = "memoryRevoked"
 	// ReasonEndless is the reason of an attempt with a response that exceeds its bound.
 	ReasonEndless = "endless"
+	// ReasonInvalid is the reason of an attempt with a response that has no defined meaning.
+	ReasonInvalid = "invalid"
 )
 
 // Pool holds the connections to all backend servers. It is safe for concurrent
--- a/internal/entry/backends/exchange.go
+++ b/internal/entry/backends/exchange.go
@@ -48,6 +48,8 @@
 	case errors.Is(cause, errTooLong), errors.Is(cause, http1.ErrTooLong):
 		failed.Reason = ReasonEndless
 		p.memory.suspect(c.key, time.Now())
+	case errors.Is(cause, http1.ErrInvalid):
+		failed.Reason = ReasonInvalid
 	}
 	return failed
 }
@@ -95,9 +97,16 @@
 	}
 	_ = answer.Body.Close()
 	head.Keep(longHeadMemory)
+	isNotModified := answer.StatusCode == http.StatusNotModified
+	if (isNotModified || answer.StatusCode == http.StatusNoContent) && hasBodyBehind(c.reader) {
+		head.Release()
+		return Response{}, false, errors.Wrapf(http1.ErrInvalid, "status %d with a body", answer.StatusCode)
+	}
 	isDelimited := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0 || request.Method == http.MethodHead
 	c.idleFor = idleTime(answer.Header)
-	hasEnd = isDelimited && !answer.Close
+	// A 304 may name the length of the body that it leaves out. A faulty server sends the body,
+	// which may arrive after the next request.
+	hasEnd = isDelimited && !answer.Close && !(isNotModified && answer.Header.Get("Content-Length") != "")
 	removeHopHeaders(answer.Header)
 	return Response{
 		Status: answer.StatusCode, Header: answer.Header, Body: body, Meta: p.protocol.ParseResponse(answer.Header),
--- a/internal/entry/backends/limit.go
+++ b/internal/entry/backends/limit.go
@@ -1,10 +1,13 @@
 package backends
 
 import (
+	"bufio"
 	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 )
 
 var errTooLong = errors.New("backends: response is too long")
@@ -45,10 +48,32 @@
 func readHead(c *connection, method string, reserve func() error) (*http.Response, error) {
 	c.limit.allow(maxHeadBytes)
 	c.limit.free, c.limit.reserve = freeBytes, reserve
-	for {
+	for range maxInformational + 1 {
 		answer, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || answer.StatusCode >= http.StatusOK {
-			return answer, err
+		if err != nil {
+			return nil, err
+		}
+		if !isInformational(answer.StatusCode) {
+			return answer, http1.CheckResponse(answer)
 		}
 	}
+	return nil, errors.Wrapf(errTooLong, "above %d informational responses", maxInformational)
+}
+
+// maxInformational bounds the informational responses before a response. A server that sends them
+// slowly would otherwise hold the request until its deadline.
+const maxInformational = 8
+
+// isInformational reports whether the response to the request follows. No request asks for the
+// protocol that 101 switches to.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// hasBodyBehind reports whether bytes other than those of another response follow a response that
+// has no body. Copies of earlier responses are skipped later, with their connection.
+func hasBodyBehind(reader *bufio.Reader) bool {
+	const start = "HTTP/1."
+	next, _ := reader.Peek(min(reader.Buffered(), len(start))) // reads nothing
+	return string(next) != start[:len(next)]
 }
--- a/internal/traffic/dispatch/attempt_result.go
+++ b/internal/traffic/dispatch/attempt_result.go
@@ -26,7 +26,8 @@
 	mayHaveRun    bool
 	// isReset is set if the server reset the connection before it answered.
 	isReset bool
-	// isAnswered is set if the server sent a whole response, or one that exceeded its bound.
+	// isAnswered is set if the server sent a whole response, an invalid one, or one that exceeded
+	// its bound.
 	isAnswered bool
 	// isEndless is set if the response exceeded its bound.
 	isEndless bool
@@ -64,6 +65,8 @@
 		return attemptResult{name: attemptError.Reason, mayHaveRun: true, outcome: placement.Abandoned}
 	case attemptError.Reason == backends.ReasonEndless:
 		return attemptResult{name: attemptError.Reason, mayHaveRun: true, isAnswered: true, isEndless: true, outcome: placement.Failed}
+	case attemptError.Reason == backends.ReasonInvalid:
+		return attemptResult{name: attemptError.Reason, mayHaveRun: true, isAnswered: true, outcome: placement.Failed}
 	case isCanceled:
 		return attemptResult{name: "abandoned", mayHaveRun: true, outcome: placement.Abandoned}
 	}
--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -102,6 +102,7 @@
 	shed        = answerOf(503, "Not-Executed", "1")
 	misdirected = answerOf(421, "Not-Executed", "1")
 	endless     = &backends.Error{IsSent: true, Reason: backends.ReasonEndless, Cause: errors.New("too long")}
+	invalid     = &backends.Error{IsSent: true, Reason: backends.ReasonInvalid, Cause: errors.New("status 000")}
 	revoked     = &backends.Error{IsSent: true, Reason: backends.ReasonMemoryRevoked, Cause: errors.New("full")}
 	noMemory    = &backends.Error{IsSent: true, Reason: backends.ReasonNoMemory, Cause: errors.New("full")}
 	encoded     = answerOf(200, "Response-Signature", "s", "Content-Encoding", "gzip")
@@ -202,6 +203,11 @@
 		"safeEndless":          {"/safe/x", []result{{err: endless}, ok}, 200, 2},
 		"safeEndlessTwice":     {"/safe/x", []result{{err: endless}, {err: endless}}, 502, 2},
 		"unsafeEndless":        {"/unsafe/x", []result{{err: endless}, ok}, 502, 1},
+		"safeInvalid":          {"/safe/x", []result{{err: invalid}, ok}, 200, 2},
+		"safeInvalidTwice":     {"/safe/x", []result{{err: invalid}, {err: invalid}}, 502, 2},
+		"unsafeInvalid":        {"/unsafe/x", []result{{err: invalid}, ok}, 502, 1},
+		"uploadInvalid":        {"/upload/x", []result{{err: invalid}, ok}, 502, 1},
+		"unknownInvalid":       {"/unknown/x", []result{{err: invalid}, ok}, 502, 1},
 		"safeNoMemory":         {"/safe/x", []result{{err: noMemory}, ok}, 200, 2},
 		"safeRevoked":          {"/safe/x", []result{{err: revoked}, ok}, 200, 2},
 		"unsafeRevoked":        {"/unsafe/x", []result{{err: revoked}, ok}, 502, 1},
@@ -467,6 +473,28 @@
 	})
 }
 
+// Guards against a server that fails without being seen to: each of its responses has the status
+// 000, and it answers sooner than the others.
+func TestServerWithInvalidResponsesIsEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		invalidSent := 0
+		w := newFixture(func(_ int, id string, _ backends.Request) (backends.Response, error) {
+			if id == "s1" {
+				invalidSent++
+				return backends.Response{}, invalid
+			}
+			time.Sleep(10 * time.Millisecond)
+			return signed(200), nil
+		})
+		for range 100 {
+			require.Equal(t, 200, w.get(t.Context(), "/safe/x").Status, "another server answers")
+			time.Sleep(5 * time.Millisecond)
+		}
+		require.LessOrEqual(t, invalidSent, 10)
+		require.Positive(t, invalidSent)
+	})
+}
+
 // Guards against requests to ejected servers under overload. At twice the capacity
 // few servers have room in their queues. The request is rejected at once as not
 // executed, instead of being sent to an ejected server.
--- a/pkg/backend/attempt.go
+++ b/pkg/backend/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 )
 
 // AttemptError reports an attempt that returned no usable response.
@@ -56,6 +57,7 @@
 	ReasonTimeout           = "timeout"
 	ReasonRequestIDMismatch = "wrongAnswer"
 	ReasonCloseDelimited    = "unboundedAnswer"
+	ReasonInvalidResponse   = "invalidAnswer"
 )
 
 // Request is one attempt to run a request on a backend server.
@@ -95,17 +97,18 @@
 		return nil, classifyError(ctx, gotConnection.Load(), err)
 	}
 	checked, err := checkResponse(response, request)
-	if err != nil && checked == nil && isRequestIDMismatch(err) {
-		// A response to another request leaves its connection in the pool if it has
-		// no body, so that the next request could also get a wrong response.
+	if err != nil && checked == nil && isOutOfSequence(err) {
+		// A response to another request, or an invalid one, leaves its connection in the pool
+		// if it has no body, so that the next request could also get a wrong response.
 		transport.CloseIdleConnections()
 	}
 	return checked, err
 }
 
-func isRequestIDMismatch(err error) bool {
+// isOutOfSequence reports whether it is unknown which bytes the server sends next.
+func isOutOfSequence(err error) bool {
 	attemptErr := &AttemptError{}
-	return errors.As(err, &attemptErr) && attemptErr.Reason == ReasonRequestIDMismatch
+	return errors.As(err, &attemptErr) && (attemptErr.Reason == ReasonRequestIDMismatch || attemptErr.Reason == ReasonInvalidResponse)
 }
 
 // newHTTPRequest builds a request that net/http never retries by itself: the body
@@ -155,10 +158,14 @@
 	return &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonNoResponse, Cause: err}
 }
 
-// checkResponse returns an error for three kinds of response: a response to another
+// checkResponse returns an error for four kinds of response: an invalid one; a response to another
 // request; a known refusal by the server, whose outcome is "not run"; and a
 // close-delimited body, whose end cannot be distinguished from a lost connection.
 func checkResponse(response *http.Response, request Request) (*http.Response, error) {
+	if err := http1.CheckResponse(response); err != nil {
+		_ = response.Body.Close()
+		return nil, &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonInvalidResponse, Cause: err}
+	}
 	if response.Header.Get(redwingstall.HeaderRequestID) != request.ID {
 		_ = response.Body.Close()
 		return nil, &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonRequestIDMismatch}
--- a/pkg/caller/router.go
+++ b/pkg/caller/router.go
@@ -195,11 +195,13 @@
 }
 
 // writeAttemptError writes the error response for a failed attempt: 503 if the request
-// did not run, else 504.
+// did not run, 502 if its response was invalid, else 504.
 func (r *Router) writeAttemptError(w http.ResponseWriter, attemptErr *backend.AttemptError) {
 	status := http.StatusGatewayTimeout
 	if attemptErr.Outcome == redwingstall.OutcomeNotRun {
 		status = http.StatusServiceUnavailable
+	} else if attemptErr.Reason == backend.ReasonInvalidResponse {
+		status = http.StatusBadGateway
 	}
 	r.writeRefusal(w, refusal{attemptErr.Outcome, attemptErr.Reason, status, ""})
 }
