Explain where a request would go, by the code that decides

Limiters that charge got a form that does not: admission.Controller.Preview, placement.Estimator.Preview, budget.Budget.Left, table.Route.PeekService, and the optional interface QuotaPreview.

--- a/internal/access/accounts/policy.go
+++ b/internal/access/accounts/policy.go
@@ -35,6 +35,8 @@
 type Request struct {
 	Key    string
 	HasKey bool
+	// Account is the account of a request that names it instead of a key, or nil.
+	Account *Account
 	// IsUnreadable is set if there is a credential that is no key.
 	IsUnreadable bool
 	// AllowsAnonymous is set if the route needs no key.
@@ -78,7 +80,7 @@
 // request may; with knowledge that is too old it counts as anonymous, since nobody knows whether
 // the account still holds the key.
 func (p Policy) Decide(directory *Directory, r Request) Decision {
-	account, isKnown := (*Account)(nil), false
+	account, isKnown := r.Account, r.Account != nil
 	if r.HasKey {
 		account, isKnown = directory.Find(r.Key)
 	}
--- a/internal/routing/placement/placement.go
+++ b/internal/routing/placement/placement.go
@@ -148,6 +148,16 @@
 	return estimate
 }
 
+// Preview returns what Estimate would return, and leaves it to that to report whether the ejection
+// has changed.
+func (e *Estimator) Preview(now time.Time, route string, c Candidate) Estimate {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.server(c.ID)
+	e.mergeTotal(s, c.ID)
+	return e.estimate(now, s, route, c)
+}
+
 func (e *Estimator) estimate(now time.Time, s *serverState, route string, c Candidate) Estimate {
 	executionTime := e.executionTimes[route]
 	if executionTime == 0 {
--- a/internal/routing/table/table.go
+++ b/internal/routing/table/table.go
@@ -62,6 +62,14 @@
 	return r.Parts[r.splitter.next(r.Parts)].Service
 }
 
+// PeekService returns what NextService would return, without advancing the traffic split.
+func (r *Route) PeekService() string {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	return r.Parts[r.splitter.peek(r.Parts)].Service
+}
+
 // splitter splits requests among the parts of a route in proportion to their weights. It
 // uses smooth weighted round robin, which keeps the proportion even in short runs.
 type splitter struct {
@@ -76,14 +84,33 @@
 		s.currentWeights = make([]float64, len(parts))
 	}
 	total := 0.0
-	best := 0
 	for i, p := range parts {
 		s.currentWeights[i] += p.Weight
 		total += p.Weight
-		if s.currentWeights[i] > s.currentWeights[best] {
+	}
+	best := largest(s.currentWeights)
+	s.currentWeights[best] -= total
+	return best
+}
+
+func (s *splitter) peek(parts []redwingstall.WeightedService) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	weights := make([]float64, len(parts))
+	copy(weights, s.currentWeights)
+	for i, p := range parts {
+		weights[i] += p.Weight
+	}
+	return largest(weights)
+}
+
+// largest returns the index of the largest weight, the first one of equal ones.
+func largest(weights []float64) int {
+	best := 0
+	for i, weight := range weights {
+		if weight > weights[best] {
 			best = i
 		}
 	}
-	s.currentWeights[best] -= total
 	return best
 }
--- a/internal/traffic/admission/admission.go
+++ b/internal/traffic/admission/admission.go
@@ -136,13 +136,34 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	target, service := c.targets.find(now, t.Name), c.services.find(now, t.Service)
+	decision, rank := c.decide(now, r, t, target, service, c.keys.add, random)
+	if !r.IsCounted {
+		work := t.work(r)
+		target.add(rank, work)
+		service.add(rank, work)
+	}
+	return decision
+}
+
+// Preview returns what Decide would return, without counting the request.
+func (c *Controller) Preview(now time.Time, r Request, t Target, random func() float64) Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	target, service := c.targets.peek(now, t.Name), c.services.peek(now, t.Service)
+	decision, _ := c.decide(now, r, t, &target, &service, c.keys.peek, random)
+	return decision
+}
+
+// countKey returns the work that was counted for a key, and may count more.
+type countKey func(now time.Time, key keyID, work float64) float64
+
+func (c *Controller) decide(now time.Time, r Request, t Target, target, service *mix, count countKey, random func() float64) (Decision, class) {
 	capacity := t.capacity()
-	work := r.Execution.Seconds() * max(t.Pace, minPace)
 	total := t.Demand
 	if t.isStale() {
 		total = max(total, estimateAlone(target, t.Instances, capacity))
 	}
-	rank := newClass(r.Priority, float64(r.Execution) > longFactor*float64(t.Execution), r.IsReturn, c.isExcess(now, r, t, work, total, capacity, random))
+	rank := newClass(r.Priority, float64(r.Execution) > longFactor*float64(t.Execution), r.IsReturn, isExcess(now, r, t, total, capacity, count, random))
 	d := divide(total, target, service, rank)
 	decision := Decision{Room: room(t, rank, capacity), Demand: d.own, Before: d.before, Completion: completion(r, t), IsStale: t.isStale()}
 	decision.Share = min(max((decision.Room-d.before)/max(d.own, minDemand), 0), 1)
@@ -159,13 +180,12 @@
 		decision.Cause = CauseShare
 	}
 	decision.RetryAfter = returnAfter(r, t, d, capacity, random)
-	if !r.IsCounted {
-		target.add(rank, work)
-		service.add(rank, work)
-	}
-	return decision
+	return decision, rank
 }
 
+// work returns the time for which a request occupies a slot, in seconds.
+func (t Target) work(r Request) float64 { return r.Execution.Seconds() * max(t.Pace, minPace) }
+
 const (
 	// minPace bounds the pace of a server that is not known yet.
 	minPace = 0.3
@@ -175,12 +195,13 @@
 
 // isExcess reports whether a request is beyond the share of its key. Of a key that wants more
 // than its share, the share is chosen at random.
-func (c *Controller) isExcess(now time.Time, r Request, t Target, work, total, capacity float64, random func() float64) bool {
+func isExcess(now time.Time, r Request, t Target, total, capacity float64, count countKey, random func() float64) bool {
 	if !r.HasKey {
 		return false
 	}
-	ofKey := c.keys.add(now, keyID{t.Service, t.Name, r.Key}, work)
-	ofTarget := c.keys.add(now, keyID{t.Service, t.Name, allKeys}, work)
+	work := t.work(r)
+	ofKey := count(now, keyID{t.Service, t.Name, r.Key}, work)
+	ofTarget := count(now, keyID{t.Service, t.Name, allKeys}, work)
 	wanted := total * ofKey / (ofTarget + keyPrior*work)
 	return wanted > 0 && random() >= keyShare*capacity/wanted
 }
@@ -268,6 +289,17 @@
 	return found
 }
 
+// peek returns the decayed counts of a name without keeping any.
+func (m *mixes) peek(now time.Time, name string) mix {
+	found := m.byName[name]
+	if found == nil {
+		return mix{countedAt: now}
+	}
+	decayed := *found
+	decayed.decayTo(now)
+	return decayed
+}
+
 func (m *mixes) sweep(now time.Time) {
 	if now.Sub(m.sweptAt) < trackedFor {
 		return
--- a/internal/traffic/admission/keys.go
+++ b/internal/traffic/admission/keys.go
@@ -59,3 +59,18 @@
 	}
 	return sum
 }
+
+// peek returns the sum for a key and counts nothing.
+func (s *keySketch) peek(now time.Time, key keyID, _ float64) float64 {
+	if s.startAt.IsZero() {
+		return 0
+	}
+	scale := math.Exp2(float64(now.Sub(s.startAt)) / float64(halfLife))
+	hash := maphash.Comparable(s.seed, key)
+	sum := math.Inf(1)
+	for i := range s.cells {
+		sum = min(sum, s.cells[i][hash%sketchColumns]/scale)
+		hash >>= 32
+	}
+	return sum
+}
--- a/internal/traffic/budget/budget.go
+++ b/internal/traffic/budget/budget.go
@@ -69,6 +69,25 @@
 	return true
 }
 
+// Left returns the number of retries that Allow would allow now, without counting one.
+func (b *Budget) Left(now time.Time, service string, instances int, reserve float64) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most := max(instances, 1)
+	for i, known := range b.instances {
+		if i+1 == len(b.instances) || b.instances[i+1].from.After(now.Add(-b.window)) {
+			most = max(most, known.count)
+		}
+	}
+	h := b.services[service]
+	if h == nil {
+		h = &history{}
+	}
+	requests, retries := dropUntil(h.requests, now.Add(-b.window)), dropUntil(h.retries, now.Add(-b.window))
+	share := b.ratio*float64(len(requests)) + b.extra/float64(most)
+	return max(int(safetyFactor*share*(1-reserve))-len(retries), 0)
+}
+
 func (b *Budget) currentHistory(now time.Time, service string) *history {
 	h := b.services[service]
 	if h == nil {
--- a/internal/traffic/dispatch/access.go
+++ b/internal/traffic/dispatch/access.go
@@ -18,6 +18,11 @@
 	Refund(now time.Time, account string)
 }
 
+// QuotaPreview is a Quota that can tell what Admit would return without a charge.
+type QuotaPreview interface {
+	Preview(now time.Time, account string) (isAdmitted bool, retryAfter time.Duration)
+}
+
 // Reasons for refusals by client account.
 const (
 	ReasonUnauthorized = "unauthorized"
@@ -59,9 +64,12 @@
 		return answer, "", true
 	}
 	age := d.knowledgeAge(j.request.Arrived, confirmedAt)
+	if j.preview != nil {
+		j.preview.knowledgeAge = age
+	}
 	decision := d.Accounts.Decide(s.Accounts, accounts.Request{
 		Key: j.meta.Credential, HasKey: j.meta.HasCredential, IsUnreadable: j.meta.IsCredentialUnreadable,
-		AllowsAnonymous: j.route.AllowsAnonymous, Age: age,
+		AllowsAnonymous: j.route.AllowsAnonymous, Age: age, Account: j.namedAccount(),
 	})
 	j.access = access{isActive: true, account: decision.Account}
 	j.priority = decision.Account.PriorityOr(j.route.Priority)
@@ -74,7 +82,7 @@
 		answer.Header.Set("WWW-Authenticate", "Bearer")
 		return answer, ReasonUnauthorized, false
 	case accounts.Defer:
-		retryAfter := d.jitter(unconfirmedRetryAfter)
+		retryAfter := d.jitter(j, unconfirmedRetryAfter)
 		d.logAccessRefusal(j, decision.Cause, age, s.Config.Version, retryAfter)
 		return d.routerAnswer(j, http.StatusServiceUnavailable, retryAfter), ReasonUnconfirmed, false
 	}
@@ -87,16 +95,30 @@
 	if d.Quota == nil || j.access.account == nil {
 		return answer, "", true
 	}
-	isAdmitted, retryAfter := d.Quota.Admit(time.Now(), j.access.name())
+	isAdmitted, retryAfter := d.chargeQuota(j)
 	if isAdmitted {
-		j.access.isCharged = true
+		j.access.isCharged = j.preview == nil
 		return answer, "", true
 	}
-	retryAfter = d.spreadLater(max(retryAfter, minRetryAfter))
+	retryAfter = d.spreadLater(j, max(retryAfter, minRetryAfter))
 	d.logAccessRefusal(j, ReasonQuota, age, version, retryAfter)
 	return d.routerAnswer(j, http.StatusTooManyRequests, retryAfter), ReasonQuota, false
 }
 
+// chargeQuota charges a request to its account. The preview of a request is not charged. Without a
+// quota that can tell without a charge, it counts as admitted.
+func (d *Dispatcher) chargeQuota(j *job) (isAdmitted bool, retryAfter time.Duration) {
+	if j.preview == nil {
+		return d.Quota.Admit(time.Now(), j.access.name())
+	}
+	quota, canPreview := d.Quota.(QuotaPreview)
+	if !canPreview {
+		return true, 0
+	}
+	j.preview.isQuotaKnown = true
+	return quota.Preview(time.Now(), j.access.name())
+}
+
 // knowledgeAge returns how old the knowledge of the configuration was when a request arrived. The
 // clock of arrivals is read first: a suspension between the two readings makes it older.
 func (d *Dispatcher) knowledgeAge(arrived time.Time, confirmedAt time.Duration) time.Duration {
@@ -123,6 +145,10 @@
 
 // logAccessRefusal logs and counts a refusal, with what it was based on.
 func (d *Dispatcher) logAccessRefusal(j *job, cause string, age time.Duration, version int64, retryAfter time.Duration) {
+	if j.preview != nil {
+		j.preview.accessCause, j.preview.retryAfter = cause, retryAfter
+		return
+	}
 	d.Counter.Count("access.refused." + cause)
 	d.Log.Info("access refused", "id", j.meta.ID, "route", j.route.Name, "cause", cause, "account", j.access.name(), "configuration", version,
 		"knowledgeAgeMillis", age.Milliseconds(), "maxKnowledgeAgeMillis", d.Accounts.MaxAge().Milliseconds(),
--- a/internal/traffic/dispatch/admission.go
+++ b/internal/traffic/dispatch/admission.go
@@ -42,29 +42,32 @@
 	if d.isWarmingUp(c.server, now) {
 		maxBusy = s.Config.Services[j.service].WarmupRate * pace * meanExecution.Seconds()
 	}
-	if !j.isDemandCounted {
+	decide := d.admission.Decide
+	if j.preview != nil {
+		decide = d.admission.Preview
+	} else if !j.isDemandCounted {
 		d.Estimator.CountDemand(now, c.server.ID, time.Duration(pace*float64(execution)))
 	}
-	decision := d.admission.Decide(now, admission.Request{
+	decision := decide(now, admission.Request{
 		Priority: j.priority, Key: j.meta.Key, HasKey: j.isKeyed(), IsReturn: j.isClientRetry, Execution: execution,
 		ObjectiveLeft: j.latencyTarget.Sub(now), DeadlineLeft: j.deadline.Sub(now), ReturnLeft: returnLeft(j, now), IsCounted: j.isDemandCounted,
 	}, admission.Target{
 		Name: c.server.ID, Service: j.service, Slots: c.server.Slots, MaxBusy: maxBusy, Queue: c.estimate.QueueLength, Execution: meanExecution, Pace: pace,
 		Demand: c.estimate.Demand, Age: c.knownFor, IsPooled: !j.isKeyed(), Instances: len(s.Peers),
-	}, d.Random)
+	}, func() float64 { return d.random(j) })
 	j.isDemandCounted = true
 	c.isDecided = true
 	if decision.IsStale {
-		d.Counter.Count("admission.stale")
+		d.count(j, "admission.stale")
 	}
 	return decision
 }
 
 // rejectByValue rejects a request that is not admitted, and counts why.
 func (d *Dispatcher) rejectByValue(j *job, c *choice) rejection {
-	d.Counter.Count("admission.refused." + string(c.decision.Cause))
+	d.count(j, "admission.refused."+string(c.decision.Cause))
 	if j.isClientRetry {
-		d.Counter.Count("admission.refusedAgain")
+		d.count(j, "admission.refusedAgain")
 	}
 	return rejection{ReasonNotAdmitted, c.decision.RetryAfter, c}
 }
@@ -129,13 +132,13 @@
 
 // jitter randomizes a delay, so that clients that were rejected together do not
 // retry together.
-func (d *Dispatcher) jitter(retryAfter time.Duration) time.Duration {
+func (d *Dispatcher) jitter(j *job, retryAfter time.Duration) time.Duration {
 	const minFactor, maxFactor = 0.75, 1.5
-	return time.Duration(float64(retryAfter) * (minFactor + (maxFactor-minFactor)*d.Random()))
+	return time.Duration(float64(retryAfter) * (minFactor + (maxFactor-minFactor)*d.random(j)))
 }
 
 // spreadLater randomizes a delay before whose end a retry is useless.
-func (d *Dispatcher) spreadLater(retryAfter time.Duration) time.Duration {
+func (d *Dispatcher) spreadLater(j *job, retryAfter time.Duration) time.Duration {
 	const maxExtra = 0.25
-	return time.Duration(float64(retryAfter) * (1 + maxExtra*d.Random()))
+	return time.Duration(float64(retryAfter) * (1 + maxExtra*d.random(j)))
 }
--- a/internal/traffic/dispatch/choose.go
+++ b/internal/traffic/dispatch/choose.go
@@ -69,6 +69,8 @@
 	hasIdle       bool
 	hasConnection bool
 	viewAge       int64
+	// cost is what servers of a pool are compared by, or zero.
+	cost float64
 	// decision is that on admission, if there was one, and knownFor the age of the reports that
 	// it was based on.
 	decision  admission.Decision
@@ -109,7 +111,7 @@
 		if c != nil && !d.endsBeforeStop(j, c, time.Now()) {
 			return nil, rejection{reason: ReasonStopping, retryAfter: minRetryAfter}
 		}
-		if c == nil || !d.isLimited(c.server) {
+		if c == nil || !d.isLimited(c.server) || j.preview != nil {
 			return c, rejected
 		}
 		permit := d.acquirePermit(ctx, j, c)
@@ -151,7 +153,12 @@
 
 func (d *Dispatcher) assess(s *view.Snapshot, j *job, server *view.Server, now time.Time) *choice {
 	c := &choice{server: server, viewAge: s.Sequence}
-	c.estimate = d.Estimator.Estimate(now, j.route.Name, c.candidate())
+	if j.preview != nil {
+		c.estimate = d.Estimator.Preview(now, j.route.Name, c.candidate())
+		j.preview.evaluated[server.ID] = c
+	} else {
+		c.estimate = d.Estimator.Estimate(now, j.route.Name, c.candidate())
+	}
 	if c.estimate.HasEjectionChanged {
 		d.logEjectionChange(c)
 	}
@@ -191,7 +198,10 @@
 	return !d.isWarmingUp(server, now) || d.WarmupLimiter.HasCapacity(now, server.ID, d.warmupShare(s, server))
 }
 
-func (d *Dispatcher) takeWarmupCapacity(s *view.Snapshot, server *view.Server, now time.Time) bool {
+func (d *Dispatcher) takeWarmupCapacity(s *view.Snapshot, j *job, server *view.Server, now time.Time) bool {
+	if j.preview != nil {
+		return d.hasWarmupCapacity(s, server, now)
+	}
 	return !d.isWarmingUp(server, now) || d.WarmupLimiter.Allow(now, server.ID, d.warmupShare(s, server))
 }
 
--- a/internal/traffic/dispatch/client_timeouts.go
+++ b/internal/traffic/dispatch/client_timeouts.go
@@ -23,8 +23,8 @@
 )
 
 // elapsedBefore returns how long the client has waited in earlier attempts, or zero
-// for a first attempt.
-func (c *clientTimeouts) elapsedBefore(route string, timeout time.Duration) time.Duration {
+// for a first attempt. A preview does not change what later requests are compared with.
+func (c *clientTimeouts) elapsedBefore(route string, timeout time.Duration, isPreview bool) time.Duration {
 	if timeout == 0 {
 		return 0
 	}
@@ -33,10 +33,10 @@
 	if c.longest == nil {
 		c.longest = map[string]time.Duration{}
 	}
-	if timeout > c.longest[route] {
-		c.longest[route] = timeout
+	longest := max(timeout, c.longest[route])
+	if !isPreview {
+		c.longest[route] = longest
 	}
-	longest := c.longest[route]
 	if float64(timeout) >= firstAttemptShare*float64(longest) {
 		return 0
 	}
--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -193,6 +193,8 @@
 	// set once it counts as demand.
 	admittedTo      string
 	isDemandCounted bool
+	// preview is set if the request is not to be sent.
+	preview *preview
 }
 
 // isKeyed reports whether only the owner of its key may run the request.
@@ -216,30 +218,46 @@
 		d.Log.Info("invalid request headers", "id", meta.ID, "error", err.Error())
 		return d.routerAnswer(j, http.StatusBadRequest, 0), ReasonBadRequest
 	}
+	if answer, reason, isReady := d.prepare(j); !isReady {
+		return answer, reason
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	return d.sendUntilFinal(ctx, j)
+}
+
+// prepare finds the route, the client account, the service and the deadline of a request. It
+// returns false with the response if the request is refused.
+func (d *Dispatcher) prepare(j *job) (answer backends.Response, reason string, isReady bool) {
 	s := d.View.Snapshot()
 	if s.Config == nil {
-		return d.routerAnswer(j, http.StatusServiceUnavailable, d.jitter(noConfigurationRetryAfter)), ReasonNoConfiguration
+		return d.routerAnswer(j, http.StatusServiceUnavailable, d.jitter(j, noConfigurationRetryAfter)), ReasonNoConfiguration, false
 	}
 	j.route = s.Routes.Find(j.request.Host, j.request.Path)
 	if j.route == nil {
-		return d.routerAnswer(j, http.StatusNotFound, 0), ReasonNoRoute
+		return d.routerAnswer(j, http.StatusNotFound, 0), ReasonNoRoute, false
 	}
 	if answer, reason, isAdmitted := d.checkAccess(j); !isAdmitted {
-		return answer, reason
+		return answer, reason, false
+	}
+	if j.preview != nil {
+		j.service = j.route.PeekService()
+	} else {
+		j.service = j.route.NextService()
 	}
-	j.service = j.route.NextService()
 	j.spec = s.Config.Services[j.service]
 	j.deadline = deadline(j)
-	elapsed := d.clientTimeouts.elapsedBefore(j.route.Name, meta.ClientTimeout)
+	elapsed := d.clientTimeouts.elapsedBefore(j.route.Name, j.meta.ClientTimeout, j.preview != nil)
 	j.isClientRetry = elapsed > 0
 	j.latencyTarget = j.request.Arrived.Add(j.route.Target - elapsed)
+	if j.preview != nil {
+		return answer, "", true
+	}
 	d.Budget.CountRequest(j.request.Arrived, j.service, len(s.Peers))
 	if j.isKeyed() {
-		d.KeyCounter.CountKey(j.request.Arrived, j.service, meta.Key)
+		d.KeyCounter.CountKey(j.request.Arrived, j.service, j.meta.Key)
 	}
-	ctx, cancel := context.WithDeadline(ctx, j.deadline)
-	defer cancel()
-	return d.sendUntilFinal(ctx, j)
+	return answer, "", true
 }
 
 // deadline returns the earlier deadline of the client's timeout and the route's.
@@ -345,17 +363,20 @@
 	case ctx.Err() != nil && time.Now().Before(j.deadline):
 		return d.routerAnswer(j, http.StatusServiceUnavailable, 0), ReasonClientGone
 	}
+	return d.routerAnswer(j, http.StatusServiceUnavailable, d.toldRetryAfter(j, r)), r.reason
+}
+
+// toldRetryAfter returns the time after which a rejected client is told to return.
+func (d *Dispatcher) toldRetryAfter(j *job, r rejection) time.Duration {
 	retryAfter := max(r.retryAfter, minRetryAfter)
-	if r.reason == ReasonNotAdmitted {
-		return d.routerAnswer(j, http.StatusServiceUnavailable, retryAfter), r.reason // it is spread already
-	}
-	if r.reason == ReasonServerLimit || r.reason == ReasonServerBackoff || r.reason == ReasonQuarantined {
+	switch r.reason {
+	case ReasonNotAdmitted:
+		return retryAfter // it is spread already
+	case ReasonServerLimit, ReasonServerBackoff, ReasonQuarantined:
 		// A client that returns earlier is refused again.
-		retryAfter = d.spreadLater(retryAfter)
-	} else {
-		retryAfter = d.jitter(retryAfter)
+		return d.spreadLater(j, retryAfter)
 	}
-	return d.routerAnswer(j, http.StatusServiceUnavailable, retryAfter), r.reason
+	return d.jitter(j, retryAfter)
 }
 
 // routerAnswer returns a response that the router generates itself.
--- a/internal/traffic/dispatch/owner.go
+++ b/internal/traffic/dispatch/owner.go
@@ -26,6 +26,10 @@
 		if !isOwnerExpected || left <= 0 {
 			return nil, rejection{reason: ReasonNoOwner, retryAfter: noOwnerRetryAfter}
 		}
+		if j.preview != nil {
+			j.preview.ownerWait = left
+			return nil, rejection{reason: ReasonNoOwner, retryAfter: noOwnerRetryAfter}
+		}
 		timer := time.NewTimer(min(left, ownerPollInterval))
 		select {
 		case <-s.Changed:
@@ -47,19 +51,24 @@
 func (d *Dispatcher) findOwner(s *view.Snapshot, j *job, now time.Time) (*choice, bool) {
 	r, found := s.Maps[j.service].Find(j.meta.Key)
 	if !found {
+		j.noteNoOwner("no owner map names the key")
 		return nil, false
 	}
 	if r.State != shardmap.StateAssigned {
+		j.noteNoOwner("the range moves to another server")
 		return nil, r.State == shardmap.StateReleased || s.ByID[r.Owner.ID] != nil
 	}
 	server := s.ByID[r.Owner.ID]
 	if server == nil || server.StartedAtMillis != r.Owner.StartedAtMillis {
+		j.noteNoOwner("the process that owns the range is not listed")
 		return nil, false
 	}
 	if d.ownerMisses.isExcluded(now, j.service, j.meta.Key, server.ID) {
+		j.noteNoOwner("the owner answered a moment ago that it does not hold the key")
 		return nil, true
 	}
 	if d.isLeaveOverdue(s, server, now) {
+		j.noteNoOwner("the owner has drained, or its failure domain is evacuated")
 		return nil, true
 	}
 	return d.assess(s, j, server, now), true
@@ -74,8 +83,7 @@
 	if rejected, isAdmitted := d.admit(s, j, c, now); !isAdmitted {
 		return nil, rejected
 	}
-	isFull := !c.hasConnection || c.estimate.QueueLength >= ownerQueuePerSlot*float64(c.server.Slots)
-	if isFull || isOwnerLost(c) || !d.takeWarmupCapacity(s, c.server, now) {
+	if c.isOwnerFull() || isOwnerLost(c) || !d.takeWarmupCapacity(s, j, c.server, now) {
 		if c.isDecided {
 			c.decision.Cause = admission.CauseFull
 			return nil, d.rejectByValue(j, c)
@@ -85,6 +93,11 @@
 	return c, rejection{}
 }
 
+// isOwnerFull reports whether an owner's queue is at its bound, or no connection is available.
+func (c *choice) isOwnerFull() bool {
+	return !c.hasConnection || c.estimate.QueueLength >= ownerQueuePerSlot*float64(c.server.Slots)
+}
+
 // isOwnerLost reports whether an owner of keys serves nobody. One that fails some of its
 // requests stays in use, since no other server can run them.
 func isOwnerLost(c *choice) bool {
--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -60,7 +60,7 @@
 	if rejected, isAdmitted := d.admit(s, j, best, now); !isAdmitted {
 		return nil, rejected
 	}
-	if !d.takeWarmupCapacity(s, best.server, now) {
+	if !d.takeWarmupCapacity(s, j, best.server, now) {
 		return nil, rejection{ReasonOverload, fastest.estimate.Completion / 2, best}
 	}
 	return best, rejection{}
@@ -106,7 +106,7 @@
 	local, remote := newSampleQuota(len(s.Peers), len(servers)), newSampleQuota(len(s.Peers), len(servers))
 	bestCost := 0.0
 	for i := range servers {
-		k := i + int(d.Random()*float64(len(servers)-i))
+		k := i + int(d.random(j)*float64(len(servers)-i))
 		servers[i], servers[k] = servers[k], servers[i]
 		quota := &remote
 		if servers[i].FailureDomain == d.FailureDomain {
@@ -127,7 +127,8 @@
 			continue
 		}
 		quota.choices--
-		if cost := d.trialCost(j, c.server, c.estimate.QueueLength, d.cost(j, c)); best == nil || cost < bestCost {
+		c.cost = d.trialCost(j, c.server, c.estimate.QueueLength, d.cost(j, c))
+		if cost := c.cost; best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
@@ -135,13 +136,13 @@
 		return best, fastest
 	}
 	if preferred, cost := d.preferredChoice(s, j, servers, now, isAcceptable); preferred != nil && (best == nil || affinity.Prefers(cost, bestCost)) {
-		d.Counter.Count("choices.preferredSlot")
+		d.count(j, "choices.preferredSlot")
 		if fastest == nil {
 			fastest = preferred
 		}
 		return preferred, fastest
 	}
-	d.Counter.Count("choices.sampled")
+	d.count(j, "choices.sampled")
 	return best, fastest
 }
 
@@ -191,7 +192,7 @@
 	if !c.hasIdle {
 		cost += float64(connectCost)
 	}
-	return cost*(1+costJitter*d.Random()) + c.estimate.FailureRate*float64(d.failureCost(j))
+	return cost*(1+costJitter*d.random(j)) + c.estimate.FailureRate*float64(d.failureCost(j))
 }
 
 // failureCost returns the cost of a failed attempt: the time of another attempt, or
--- a/internal/traffic/dispatch/preferred.go
+++ b/internal/traffic/dispatch/preferred.go
@@ -77,7 +77,8 @@
 		if c.estimate.Own >= slots || !isAcceptable(c) || !c.hasCapacity(j.route.Kind) {
 			continue
 		}
-		if cost := d.trialCost(j, server, c.estimate.QueueLength, d.cost(j, c)); best == nil || cost < bestCost {
+		c.cost = d.trialCost(j, server, c.estimate.QueueLength, d.cost(j, c))
+		if cost := c.cost; best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
 	}
--- a/internal/traffic/dispatch/quarantine.go
+++ b/internal/traffic/dispatch/quarantine.go
@@ -57,7 +57,7 @@
 		case quarantine.Reject:
 			return rejection{reason: ReasonQuarantined, retryAfter: after}, false
 		}
-		if !d.awaitTrial(ctx, j, changed, after) {
+		if j.preview != nil || !d.awaitTrial(ctx, j, changed, after) {
 			return rejection{reason: ReasonSuspected, retryAfter: suspectRetryAfter}, false
 		}
 	}
