Add the command where for instances on a platform

The metrics listener (port 9464) answers POST /where with the explanation of a request. An API key is read from a file, sent in the body only and never repeated; errors about a question have fixed texts. Exit codes: 0 would be sent, 1 refused, no route, no owner or unknown account, 2 usage, 3 no explanation (instance unreachable, busy or of an earlier version).

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -58,7 +58,7 @@
 	softLimitShare = 0.8
 )
 
-// MetricsPort is the TCP port that serves metrics.
+// MetricsPort is the TCP port that serves metrics and explanations to operators.
 const MetricsPort = "9464"
 
 // Gateway is one instance.
@@ -125,8 +125,9 @@
 		Features:        g.features,
 		ObserveResponse: g.observeOrderResponse,
 	})
+	dispatcher := g.newDispatcher(platform)
 	g.callers, err = callers.Listen(node.FrontAddress, callers.Config{
-		Handler:          g.newDispatcher(platform),
+		Handler:          dispatcher,
 		Limits:           func() redwingstall.CallerLimits { return callers.LimitsWithDefaults(g.view.Snapshot().Config) },
 		Count:            g.metrics.Count,
 		Log:              log,
@@ -137,7 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return g, g.openAdmin(platform.ReadyPath)
+	return g, g.openAdmin(platform.ReadyPath, newExplainer(dispatcher))
 }
 
 // observeOrderResponse records what a server says in the response to an order. One without a
@@ -226,14 +227,17 @@
 // before keys could be moved.
 const minLatencyFactor, maxLatencyFactor = 0.5, 3.0
 
-// openAdmin serves readiness and metrics.
-func (g *Gateway) openAdmin(readyPath string) error {
+// openAdmin serves readiness, metrics and explanations.
+func (g *Gateway) openAdmin(readyPath string, explanations http.Handler) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc(readyPath, g.serveReadiness)
 	if err := g.listen(g.node.ReadyAddress, mux); err != nil {
 		return err
 	}
-	return g.listen(net.JoinHostPort(g.node.IP, MetricsPort), g.metrics)
+	operators := http.NewServeMux()
+	operators.Handle("/", g.metrics)
+	operators.Handle(WherePath, explanations)
+	return g.listen(net.JoinHostPort(g.node.IP, MetricsPort), operators)
 }
 
 // presenceTTL is how long a crashed instance is still counted when budgets are divided
--- a/internal/traffic/dispatch/access.go
+++ b/internal/traffic/dispatch/access.go
@@ -64,9 +64,6 @@
 		return answer, "", true
 	}
 	age := d.knowledgeAge(j.request.Arrived, confirmedAt)
-	if j.preview != nil {
-		j.preview.knowledgeAge = age
-	}
 	decision := d.Accounts.Decide(s.Accounts, accounts.Request{
 		Key: j.meta.Credential, HasKey: j.meta.HasCredential, IsUnreadable: j.meta.IsCredentialUnreadable,
 		AllowsAnonymous: j.route.AllowsAnonymous, Age: age, Account: j.namedAccount(),
--- a/internal/traffic/dispatch/explain.go
+++ b/internal/traffic/dispatch/explain.go
@@ -46,10 +46,10 @@
 	Instance      string `json:"instance"`
 	FailureDomain string `json:"failureDomain"`
 	// View and Configuration are the versions of what the instance knows, and KnowledgeMillis how
-	// old it was where the configuration has client accounts.
+	// long ago all of it was confirmed, or -1.
 	View            int64 `json:"view"`
 	Configuration   int64 `json:"configuration"`
-	KnowledgeMillis int64 `json:"knowledgeMillis,omitempty"`
+	KnowledgeMillis int64 `json:"knowledgeMillis"`
 
 	Verdict string `json:"verdict"`
 	// Reason and Status are those of the response that the client would get from the router. A
@@ -152,6 +152,10 @@
 			return e
 		}
 	}
+	e.KnowledgeMillis = -1
+	if age := d.knowledgeAge(now, d.View.ConfirmedAt()); age != math.MaxInt64 {
+		e.KnowledgeMillis = age.Milliseconds()
+	}
 	answer, reason, isReady := d.prepare(j)
 	e.describe(d, j, now)
 	if !isReady {
@@ -186,11 +190,6 @@
 
 // describe adds what is known of the request before a server is chosen.
 func (e *Explanation) describe(d *Dispatcher, j *job, now time.Time) {
-	if age := j.preview.knowledgeAge; age != math.MaxInt64 {
-		e.KnowledgeMillis = age.Milliseconds()
-	} else {
-		e.KnowledgeMillis = -1 // never confirmed
-	}
 	if j.route == nil {
 		return
 	}
--- a/internal/traffic/dispatch/preview.go
+++ b/internal/traffic/dispatch/preview.go
@@ -19,7 +19,6 @@
 	// accessCause and retryAfter are those of a refusal by client account.
 	accessCause  string
 	retryAfter   time.Duration
-	knowledgeAge time.Duration
 	isQuotaKnown bool
 }
 
--- a/pkg/app/cli.go
+++ b/pkg/app/cli.go
@@ -32,6 +32,7 @@
 	Serve    *ServeCommand    `arg:"subcommand:serve" help:"run an entry instance"`
 	Gateway  *GatewayCommand  `arg:"subcommand:gateway" help:"run an instance on a platform"`
 	Explain  *ExplainCommand  `arg:"subcommand:explain" help:"print the log lines on standard input that explain the outcome of a request"`
+	Where    *WhereCommand    `arg:"subcommand:where" help:"show where an instance on a platform would send a request now, and why"`
 	Check    *CheckCommand    `arg:"subcommand:check" help:"check settings, a template or an account offline"`
 	Template *TemplateCommand `arg:"subcommand:template" help:"publish, list or show templates"`
 	Account  *AccountCommand  `arg:"subcommand:account" help:"set, list, show or render client accounts"`
@@ -71,6 +72,16 @@
 	ExplainCommand struct {
 		ID string `arg:"positional,required" help:"request id"`
 	}
+	// WhereCommand describes a request that is explained, and not sent.
+	WhereCommand struct {
+		Host       string        `arg:"--host,required" help:"host of the request"`
+		Path       string        `arg:"--path,required" help:"path of the request"`
+		Method     string        `arg:"--method" default:"GET"`
+		Key        *int          `arg:"--key" help:"key of a request to a keyed service"`
+		Account    string        `arg:"--account" help:"name of the client account"`
+		APIKeyFile string        `arg:"--api-key-file" help:"file that contains an API key of the client account"`
+		Timeout    time.Duration `arg:"--timeout" help:"timeout that the client states"`
+	}
 	// CheckCommand checks files offline.
 	CheckCommand struct {
 		Platform string `arg:"--platform" help:"a platform's settings file"`
@@ -204,6 +215,8 @@
 		return serveGateway(*a.Gateway, stdout)
 	case a.Explain != nil:
 		return explain(a.Explain.ID, os.Stdin, stdout)
+	case a.Where != nil:
+		return where(context.Background(), *a.Where, a.Instance, printer{stdout, a.JSON})
 	case a.Check != nil:
 		return check(*a.Check, stdout)
 	}
