Compare explanations with limits, lost owners and misdirected requests too

Random fleets now name limits of servers and lose the entry of an owner. Charging a permit, a quota, or waiting in a preview each fail a test. A client that sends or reads a question slowly keeps its place for 2 or 4 s at most (TestSlowQuestionsKeepNoPlace); before, it kept it until it closed its connection.

--- a/internal/node/gateway/where.go
+++ b/internal/node/gateway/where.go
@@ -18,6 +18,8 @@
 	// a tenth of the smallest instance.
 	maxExplanations     = 2
 	explanationInterval = 100 * time.Millisecond
+	// questionTimeout bounds how long a client that sends or reads slowly keeps a place.
+	questionTimeout = 2 * time.Second
 	// maxQuestionBytes is above the longest header that carries an API key.
 	maxQuestionBytes = 64 << 10
 )
@@ -46,6 +48,9 @@
 		return
 	}
 	defer time.AfterFunc(explanationInterval, func() { <-e.places })
+	controller, now := http.NewResponseController(w), time.Now()
+	_ = controller.SetReadDeadline(now.Add(questionTimeout))
+	_ = controller.SetWriteDeadline(now.Add(2 * questionTimeout))
 	var q dispatch.Question
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQuestionBytes)).Decode(&q); err != nil {
 		http.Error(w, "the question cannot be read", http.StatusBadRequest)
--- a/internal/node/gateway/where_test.go
+++ b/internal/node/gateway/where_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -51,3 +52,26 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against clients that send nothing and keep others from asking.
+func TestSlowQuestionsKeepNoPlace(t *testing.T) {
+	e := &explainer{places: make(chan struct{}, maxExplanations), explain: func(dispatch.Question, func() float64) dispatch.Explanation {
+		return dispatch.Explanation{Verdict: dispatch.VerdictSend}
+	}}
+	server := httptest.NewServer(e)
+	defer server.Close()
+	for range maxExplanations {
+		c, err := net.Dial("tcp", server.Listener.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = c.Write([]byte("POST /where HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{"))
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return len(e.places) == maxExplanations }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		answer, err := http.Post(server.URL, "application/json", strings.NewReader(`{"host":"h","path":"/x"}`))
+		require.NoError(t, err)
+		_ = answer.Body.Close()
+		return answer.StatusCode == http.StatusOK
+	}, 10*time.Second, 50*time.Millisecond)
+}
--- a/internal/traffic/budget/budget_test.go
+++ b/internal/traffic/budget/budget_test.go
@@ -85,3 +85,23 @@
 	}
 	require.Greater(t, taken, int(extra/instances), "a window later the share grows")
 }
+
+// Guards against a number of retries left that differs from what is allowed.
+func TestLeftIsWhatIsAllowed(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, instances := range []int{1, 3, 40} {
+		b := NewBudget(0.2, 56, 10*time.Second)
+		for i := range 200 {
+			at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+			b.CountRequest(at, "s", instances+i%3)
+			if i%20 != 0 {
+				continue
+			}
+			left, allowed := b.Left(at, "s", instances, 0.3), 0
+			for allowed < 5 && b.Allow(at, "s", instances, 0.3) {
+				allowed++
+			}
+			require.Equal(t, min(left, 5), allowed)
+		}
+	}
+}
--- a/internal/traffic/dispatch/explain_test.go
+++ b/internal/traffic/dispatch/explain_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/node/features"
+	"github.com/redwingstall/redwingstall/internal/ownership/shardmap"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/traffic/dispatch"
 )
@@ -26,6 +28,8 @@
 type play struct {
 	*fixture
 	draw *rand.Rand
+	// refusedPermits counts permits that were not granted.
+	refusedPermits int
 }
 
 func newPlay(seed uint64) *play {
@@ -37,10 +41,14 @@
 			return backends.Response{}, reset
 		case n%13 == 0:
 			return shed, nil
+		case n%11 == 0:
+			return misdirected, nil
 		}
 		return signed(200), nil
 	})
 	p.dispatcher.Features = func() features.Set { return features.Set{Admission: seed%2 == 0} }
+	p.dispatcher.ServerLimiter.Count = func(string) {}
+	p.dispatcher.Counter = permitCounter{&p.refusedPermits}
 	events := []redwingstall.Event{}
 	for i := range 30 {
 		entry := redwingstall.BackendEntry{ID: fmt.Sprintf("s-%02d", i), Service: "s", Slots: 1 + i%4, StartedAtMillis: 1, Draining: i == 3}
@@ -61,6 +69,17 @@
 	return p
 }
 
+// permitCounter counts permits that were not granted.
+type permitCounter struct{ refused *int }
+
+func (permitCounter) Add(string, int64)                   {}
+func (permitCounter) RecordLatency(string, time.Duration) {}
+func (c permitCounter) Count(name string) {
+	if name == "serverLimits.refused" {
+		*c.refused++
+	}
+}
+
 // change changes what is known of the servers.
 func (p *play) change() {
 	time.Sleep(time.Duration(p.draw.IntN(60)) * time.Millisecond)
@@ -72,6 +91,16 @@
 		reports = append(reports, placement.Report{Server: id, InFlight: p.draw.IntN(14), LatencyFactor: 1, Demand: 9 * p.draw.Float64()})
 	}
 	p.dispatcher.Estimator.MergeReports(time.Now(), "peer", reports)
+	if p.draw.IntN(4) == 0 { // a server names a limit, or ends it
+		server := shardmap.Server{ID: fmt.Sprintf("s-%02d", p.draw.IntN(30)), StartedAtMillis: 1}
+		p.dispatcher.ServerLimiter.Table.Observe(server, redwingstall.RateLimit{Rate: float64(p.draw.IntN(9)), IsNamed: true}, time.Now(), time.Now())
+	}
+	owner := redwingstall.BackendEntry{ID: "k2", Service: "k", Slots: 4, StartedAtMillis: 1, Draining: p.draw.IntN(3) == 0}
+	event := redwingstall.Event(redwingstall.EntryChanged{Entry: owner})
+	if p.draw.IntN(8) == 0 {
+		event = redwingstall.EntryRemoved{ID: owner.ID}
+	}
+	p.view.Apply(time.Now(), []redwingstall.Event{event}, false)
 	p.exhaust(fmt.Sprintf("s-%02d", p.draw.IntN(30)), fmt.Sprintf("s-%02d", p.draw.IntN(30)))
 }
 
@@ -80,7 +109,7 @@
 func (p *play) question() dispatch.Question {
 	path := []string{"/safe/x", "/unsafe/x", "/keyed/x", "/book/x", "/none/x"}[p.draw.IntN(5)]
 	q := dispatch.Question{Method: "GET", Host: "h", Target: path, TimeoutMillis: int64(700 + p.draw.IntN(800))}
-	if key := p.draw.IntN(1 << 15); path == "/keyed/x" || path == "/book/x" {
+	if key := p.draw.IntN(redwingstall.KeyCount); path == "/keyed/x" || path == "/book/x" {
 		q.Key = &key
 	}
 	return q
@@ -108,7 +137,8 @@
 				q, draw := p.question(), uint64(n)
 				e := p.dispatcher.Explain(q, rand.New(rand.NewPCG(seed, draw)).Float64)
 				p.dispatcher.Random = rand.New(rand.NewPCG(seed, draw)).Float64
-				sent := len(p.backends.sent)
+				sent, refused := len(p.backends.sent), p.refusedPermits
+				began := time.Now()
 				answer := p.ask(t, q)
 				verdicts[e.Verdict]++
 				reasons[e.Reason]++
@@ -117,6 +147,13 @@
 				case dispatch.VerdictSend:
 					require.Greater(t, len(p.backends.sent), sent, "%+v, status %d", e, answer.Status)
 					require.Equal(t, p.backends.sent[sent], e.Server)
+				case dispatch.VerdictWait:
+					if e.Server == "" {
+						require.Positive(t, time.Since(began), "%+v", e)
+					}
+					if e.Server != "" && p.refusedPermits == refused {
+						require.Equal(t, p.backends.sent[sent], e.Server)
+					}
 				case dispatch.VerdictRefuse:
 					require.Len(t, p.backends.sent, sent, "%+v", e)
 					require.Equal(t, answer.Status, e.Status)
@@ -159,6 +196,30 @@
 	}
 }
 
+// Guards against a data race between explanations and requests; the race detector finds it.
+func TestExplanationsBesideRequests(t *testing.T) {
+	w := newFixture(func(int, string, backends.Request) (backends.Response, error) { return signed(200), nil })
+	w.dispatcher.Features = func() features.Set { return features.Set{Admission: true, EvenLoad: true} }
+	w.dispatcher.Random = rand.Float64
+	var running sync.WaitGroup
+	key := 5
+	for range 4 {
+		running.Go(func() {
+			for range 100 {
+				w.get(t.Context(), "/safe/x")
+				w.get(t.Context(), "/keyed/x", "Shard-Key", "5")
+			}
+		})
+		running.Go(func() {
+			for range 100 {
+				w.dispatcher.Explain(dispatch.Question{Host: "h", Target: "/safe/x"}, rand.Float64)
+				w.dispatcher.Explain(dispatch.Question{Host: "h", Target: "/keyed/x", Key: &key}, rand.Float64)
+			}
+		})
+	}
+	running.Wait()
+}
+
 // previewQuota can tell without a charge.
 type previewQuota struct{ fakeQuota }
 
