Count the first report of an account in full in the window

An account without a row of a source yet looked as if its last report had come before the source was back in touch, and a source that was new as if it had been silent for 292 years. So the requests of an account's first report were left out of the sum over the window.

Test: go test ./internal/traffic/quota -run TestFirstReportOfAnAccountCountsInTheWindow failed before (2.2e-08 in the window in place of 40); go test ./internal/traffic/quota passes now.

--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -366,7 +366,11 @@
 	a.counts[origin] += uint32(n)
 	covered := min(a.reserve, n)
 	a.reserve -= covered
-	a.spend(n-covered, n*min(b.Window.Seconds()/silence.Seconds(), 1))
+	inWindow := n
+	if silence > b.Window {
+		inWindow *= b.Window.Seconds() / silence.Seconds()
+	}
+	a.spend(n-covered, inWindow)
 }
 
 func (a *account) refund(now time.Time, s standing, b Bounds) {
--- a/internal/traffic/quota/usage.go
+++ b/internal/traffic/quota/usage.go
@@ -136,7 +136,8 @@
 	streams map[string]*stream
 	// heardAt is when a report arrived last, and returnedAt when instances came back in touch.
 	heardAt, returnedAt time.Time
-	// silence is how long they were out of touch, at least.
+	// silence is how long they were out of touch, at least, or zero for a new source, whose
+	// usage counts in full.
 	silence time.Duration
 	usage   map[uint32]reported
 }
@@ -187,6 +188,9 @@
 	}
 	if silence := now.Sub(from.heardAt); silence > silenceTimeout || usage.Heard > current.heard {
 		from.returnedAt, from.silence = now, max(silence, silenceTimeout)
+		if from.heardAt.IsZero() {
+			from.silence = 0
+		}
 	}
 	from.heardAt = now
 	if int32(usage.Sequence-current.sequence) > 0 || current.heardAt.IsZero() {
@@ -248,7 +252,7 @@
 		origin = originDirect
 	}
 	if charge := int32(row.Count + last.offset - known.progress); charge > 0 {
-		if known.at.Before(from.returnedAt) || now.Sub(from.returnedAt) < backlogTime {
+		if !known.at.IsZero() && known.at.Before(from.returnedAt) || now.Sub(from.returnedAt) < backlogTime {
 			a.chargeReturned(origin, float64(charge), from.silence, b)
 		} else {
 			a.charge(origin, float64(charge))
