Ignore late datagrams of an instance's previous process

A late datagram of the previous process replaced what was known of the current one. The usage of both was then charged again, and the clock of a watcher was learned anew, so that its confirmations did not count meanwhile. The last four replaced processes of a sender are now kept for a minute, and what they report is ignored.

--- a/internal/fleet/peers/confirmation.go
+++ b/internal/fleet/peers/confirmation.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/redwingstall/redwingstall/internal/fleet/follow"
@@ -58,6 +59,10 @@
 	clockDrift = time.Millisecond
 	// maxSenders bounds the processes whose clocks are known. Only watchers send updates.
 	maxSenders = 64
+	// replacedTime is how long updates of a sender's previous process are recognized, and
+	// maxReplaced the number of its processes for which they are.
+	replacedTime = time.Minute
+	maxReplaced  = 4
 )
 
 // senderClock relates the clock of another process to that of this one.
@@ -71,6 +76,32 @@
 	// was counted.
 	samples   int
 	countedAt time.Duration
+	// replaced are the sender's previous processes, the last one at the end.
+	replaced []replacedProcess
+}
+
+// replacedProcess is a process whose sender reported as another one at a time. An update of it that
+// arrives later must not replace the clock of the newer process.
+type replacedProcess struct {
+	process uint64
+	at      time.Duration
+}
+
+// isReplaced reports whether a process was replaced by the one of the clock. Nil knows none.
+func (c *senderClock) isReplaced(now time.Duration, process uint64) bool {
+	return c != nil && slices.ContainsFunc(c.replaced, func(r replacedProcess) bool {
+		return r.process == process && now-r.at < replacedTime
+	})
+}
+
+// next returns the clock of the process that replaces the one of c, which may be nil.
+func (c *senderClock) next(now, sample time.Duration, process uint64) *senderClock {
+	next := &senderClock{process: process, offset: sample, updatedAt: now}
+	if c != nil {
+		next.replaced = append(slices.Clone(c.replaced), replacedProcess{c.process, now})
+		next.replaced = next.replaced[max(len(next.replaced)-maxReplaced, 0):]
+	}
+	return next
 }
 
 // add takes a difference into account that was seen at a time.
@@ -102,11 +133,14 @@
 	}
 	sample := now - stamp.sentAt
 	clock := s.byName[from]
+	if clock.isReplaced(now, stamp.process) {
+		return 0
+	}
 	if clock == nil || clock.process != stamp.process {
 		if s.byName == nil || len(s.byName) >= maxSenders {
 			s.byName = map[string]*senderClock{}
 		}
-		clock = &senderClock{process: stamp.process, offset: sample, updatedAt: now}
+		clock = clock.next(now, sample, stamp.process)
 		s.byName[from] = clock
 	}
 	if clock.add(now, sample); clock.samples < clockSamples {
--- a/internal/fleet/peers/confirmation_test.go
+++ b/internal/fleet/peers/confirmation_test.go
@@ -71,6 +71,33 @@
 	}
 }
 
+// Guards against a late update of a watcher's previous process that resets what is known of the clock
+// of its current one.
+func TestLateUpdateOfAReplacedProcessIsIgnored(t *testing.T) {
+	clocks, now := senderClocks{}, time.Hour
+	update := func(process uint64) time.Duration {
+		return clocks.confirmedAt(now, "w", confirmation{process: process, sentAt: now, age: 100 * time.Millisecond})
+	}
+	for process := uint64(1); process <= maxReplaced+1; process++ {
+		for range clockSamples {
+			now += 150 * time.Millisecond
+			update(process)
+		}
+		require.Equal(t, now-100*time.Millisecond, update(process))
+		for late := uint64(1); late < process; late++ {
+			require.Zero(t, update(late), "late update")
+			require.Equal(t, now-100*time.Millisecond, update(process), "process %d after a late update of %d", process, late)
+		}
+	}
+	require.Len(t, clocks.byName["w"].replaced, maxReplaced)
+	now += replacedTime
+	for range clockSamples {
+		now += 150 * time.Millisecond
+		update(1)
+	}
+	require.Equal(t, now-100*time.Millisecond, update(1), "it is forgotten")
+}
+
 // Guards against an age that is lost on the way, or that a part of an update carries which does
 // not bring the receiver up to date.
 func TestUpdatesCarryTheAgeOfTheirContent(t *testing.T) {
--- a/internal/traffic/quota/usage.go
+++ b/internal/traffic/quota/usage.go
@@ -61,6 +61,8 @@
 	backlogTime = 200 * time.Millisecond
 	// forgetTime is the time without reports after which a source is removed.
 	forgetTime = time.Minute
+	// maxReplaced bounds the processes of a sender that are known to have been replaced.
+	maxReplaced = 4
 )
 
 // changeList holds the accounts to be reported in one scope, each once.
@@ -161,6 +163,32 @@
 	heard    int
 	isFresh  bool
 	rows     map[uint32]streamRow
+	// replaced are the sender's previous processes, the last one at the end.
+	replaced []replacedProcess
+}
+
+// replacedProcess is a process whose sender reported as another one at a time. A report of it that
+// arrives later must not replace the newer process: the counts of both would be charged again.
+type replacedProcess struct {
+	process uint64
+	at      time.Time
+}
+
+// isReplaced reports whether a process was replaced by the one of the stream. Nil knows none.
+func (s *stream) isReplaced(now time.Time, process uint64) bool {
+	return s != nil && slices.ContainsFunc(s.replaced, func(r replacedProcess) bool {
+		return r.process == process && now.Sub(r.at) < forgetTime
+	})
+}
+
+// next returns an empty stream of the process that replaces the one of s, which may be nil.
+func (s *stream) next(now time.Time, process uint64) *stream {
+	next := &stream{process: process, rows: map[uint32]streamRow{}}
+	if s != nil {
+		next.replaced = append(slices.Clone(s.replaced), replacedProcess{s.process, now})
+		next.replaced = next.replaced[max(len(next.replaced)-maxReplaced, 0):]
+	}
+	return next
 }
 
 // streamRow is the last row of an account in a stream. Offset is added to its counts, so that
@@ -182,8 +210,11 @@
 	}
 	from := l.source(sourceKey{scope, name})
 	current := from.streams[sender]
+	if current.isReplaced(now, usage.Process) {
+		return
+	}
 	if current == nil || current.process != usage.Process {
-		current = &stream{process: usage.Process, rows: map[uint32]streamRow{}}
+		current = current.next(now, usage.Process)
 		from.streams[sender] = current
 	}
 	if silence := now.Sub(from.heardAt); silence > silenceTimeout || usage.Heard > current.heard {
--- a/internal/traffic/quota/usage_test.go
+++ b/internal/traffic/quota/usage_test.go
@@ -55,3 +55,36 @@
 	require.EqualValues(t, admitted+more, a.counts[originDirect])
 	require.InDelta(t, admitted+more, a.spentSum, 1e-6)
 }
+
+// Guards against usage that is charged again because a datagram of an instance's previous process
+// arrives after the first one of its next process.
+func TestLateReportOfAReplacedProcessIsIgnored(t *testing.T) {
+	receiver, now := newTestLimiter(99), start
+	receiver.Configure(now, accountOf(1000, 1000))
+	receiver.Step(now, Fleet{Listed: 2})
+	now = now.Add(learningTime)
+	a := receiver.find("a")
+	total := 0
+	late := []Usage{}
+	for process := range uint64(maxReplaced + 1) {
+		sender := newTestLimiter(process + 1)
+		sender.Configure(now, accountOf(1000, 1000))
+		for range 3 {
+			now = now.Add(100 * time.Millisecond)
+			total += spend(sender, now, 10)
+			usage := sender.TakeUsage(now, ScopeOwn, 10)
+			receiver.MergeUsage(now, ScopeOwn, "i1", "i1", usage)
+			for _, replaced := range late {
+				receiver.MergeUsage(now, ScopeOwn, "i1", "i1", replaced)
+			}
+			require.EqualValues(t, total, a.counts[originDirect])
+		}
+		late = append(late, sender.TakeUsage(now, ScopeOwn, 10))
+	}
+	require.Len(t, receiver.sources[sourceKey{ScopeOwn, "i1"}].streams["i1"].replaced, maxReplaced)
+	// Late reports do not make an instance count as heard.
+	now = now.Add(2 * silenceTimeout)
+	receiver.MergeUsage(now, ScopeOwn, "i1", "i1", late[0])
+	receiver.Step(now, Fleet{Listed: 2})
+	require.Equal(t, 1, receiver.heard[ScopeTotal])
+}
