Report refunds to the other instances

A refunded request stayed charged at the other instances, since only growing counts were applied. Refunds are now a second count that only grows, and receivers merge both alike. No more is given back than was charged: a process that has just started takes first counts for old and does not charge them.

Rows grow from 16 to 20 bytes. They get a prefix of their own, so that earlier versions don't misread them, and 32 of them in place of 40 (1,600 in place of 2,000 in sums) keep the size of datagrams.

Tests: go test ./internal/traffic/quota -run TestRefund failed before in TestRefundsReachOtherInstances (33 requests counted in place of 6), TestRefundRestoresTheLevelOfOtherInstances (a level of 40 in place of 100) and TestRefundsInSumsGiveCreditBackOnce (93 in place of 80). TestRefundsOfUnchargedRequestsGiveNoCredit passed before and fails without the bound by what was charged. go test ./internal/traffic/quota passes now, and go test ./internal/fleet/peers -run TestUsage.

--- a/internal/fleet/peers/quotas.go
+++ b/internal/fleet/peers/quotas.go
@@ -13,13 +13,13 @@
 
 const (
 	// usagePrefix is the first byte of datagrams that begin with the usage of client accounts.
-	// Earlier versions cannot decode them, and log that.
-	usagePrefix = 0x03
+	// Earlier versions cannot decode them, and log that. 0x03 was that of rows without refunds.
+	usagePrefix = 0x04
 	// maxUsageRows keeps a datagram of one instance below the usual MTU, beside its loads. What
 	// is left is sent with the next one.
-	maxUsageRows = 40
+	maxUsageRows = 32
 	// maxSumUsageRows bounds the usage in a datagram with sums to 32 KB.
-	maxSumUsageRows = 2000
+	maxSumUsageRows = 1600
 	// usageInterval is the time after which an instance without load reports that it runs. The
 	// others take it to be out of touch after a second.
 	usageInterval = 200 * time.Millisecond
@@ -27,9 +27,9 @@
 	// usageHeaderBytes are the process in 64 bits, the sequence in 32, and the instances
 	// heard and the rows in 16 each.
 	usageHeaderBytes = 16
-	// usageRowBytes are the account, the count and the demand in 32 bits each, and the recent
-	// count and the active instances in 16.
-	usageRowBytes = 16
+	// usageRowBytes are the account, the count, the refunds and the demand in 32 bits each, and
+	// the recent count and the active instances in 16.
+	usageRowBytes = 20
 	// The number of instances heard shares its 16 bits with the bit that says whether none of
 	// them is silent.
 	freshBit = 1 << 15
@@ -140,6 +140,7 @@
 	for _, row := range usage.Rows {
 		b = binary.LittleEndian.AppendUint32(b, row.Account)
 		b = binary.LittleEndian.AppendUint32(b, row.Count)
+		b = binary.LittleEndian.AppendUint32(b, row.Refunds)
 		b = binary.LittleEndian.AppendUint32(b, math.Float32bits(float32(row.Demand)))
 		b = binary.LittleEndian.AppendUint16(b, uint16(min(row.Recent, math.MaxUint16)))
 		b = binary.LittleEndian.AppendUint16(b, uint16(min(row.Active, math.MaxUint16)))
@@ -169,16 +170,17 @@
 		return nil, nil, errors.WithStack(errInvalidUsage)
 	}
 	for ; rows > 0; rows-- {
-		demand := float64(math.Float32frombits(binary.LittleEndian.Uint32(b[8:])))
+		demand := float64(math.Float32frombits(binary.LittleEndian.Uint32(b[12:])))
 		if math.IsNaN(demand) || math.IsInf(demand, 0) || demand < 0 {
 			return nil, nil, errors.WithStack(errInvalidUsage)
 		}
 		usage.Rows = append(usage.Rows, quota.Row{
 			Account: binary.LittleEndian.Uint32(b),
 			Count:   binary.LittleEndian.Uint32(b[4:]),
+			Refunds: binary.LittleEndian.Uint32(b[8:]),
 			Demand:  demand,
-			Recent:  uint32(binary.LittleEndian.Uint16(b[12:])),
-			Active:  int(binary.LittleEndian.Uint16(b[14:])),
+			Recent:  uint32(binary.LittleEndian.Uint16(b[16:])),
+			Active:  int(binary.LittleEndian.Uint16(b[18:])),
 		})
 		b = b[usageRowBytes:]
 	}
--- a/internal/fleet/peers/quotas_test.go
+++ b/internal/fleet/peers/quotas_test.go
@@ -523,7 +523,7 @@
 
 // Guards against datagrams with usage that are read wrongly, and broken ones that end the process.
 func TestUsageIsReadAsWritten(t *testing.T) {
-	usage := quota.Usage{Process: 1 << 60, Sequence: 7, Heard: 58, IsFresh: true, Rows: []quota.Row{{Account: 1, Count: 2, Recent: 3, Demand: 4.5, Active: 6}, {Account: 1 << 31, Count: 1 << 31}}}
+	usage := quota.Usage{Process: 1 << 60, Sequence: 7, Heard: 58, IsFresh: true, Rows: []quota.Row{{Account: 1, Count: 2, Refunds: 7, Recent: 3, Demand: 4.5, Active: 6}, {Account: 1 << 31, Count: 1 << 31, Refunds: 1 << 31}}}
 	encoded := prependUsage(&usage, []byte("rest"))
 	decoded, rest, err := splitUsage(encoded)
 	require.NoError(t, err)
--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -72,16 +72,17 @@
 	// tokens are what this instance may spend before others know of it.
 	tokens float64
 	// counts are the admitted requests of this instance, of those that report to it and of
-	// the others; demand is the same for what was asked for, decaying.
-	counts [origins]uint32
-	demand [origins]float64
+	// the others, less the refunded ones, whose number is in refunds; demand is what was asked
+	// for, decaying.
+	counts, refunds [origins]uint32
+	demand          [origins]float64
 	// active is the number of instances with requests of the account.
 	active [origins]int
 	// marks and nextMarks are the counts between one and two marking intervals ago, and at
-	// the last mark. reported is the own count of the last report.
-	marks, nextMarks [origins]uint32
-	reported         uint32
-	markedAt         time.Time
+	// the last mark. reported and reportedRefunds are the own part of the last report.
+	marks, nextMarks          [origins]uint32
+	reported, reportedRefunds uint32
+	markedAt                  time.Time
 	// spent are the known requests of the last window, by slot.
 	spent      [slotsPerWindow + 1]float64
 	spentSum   float64
@@ -378,6 +379,7 @@
 	defer a.mu.Unlock()
 	a.advance(now, s, b)
 	a.charge(originOwn, -1)
+	a.refunds[originOwn]++
 	a.tokens++
 	a.demand[originOwn] = max(a.demand[originOwn]-1, 0)
 }
--- a/internal/traffic/quota/usage.go
+++ b/internal/traffic/quota/usage.go
@@ -10,9 +10,12 @@
 type Row struct {
 	Account uint32
 	// Count is the number of admitted requests since the start of the process that reports
-	// it, and Recent how many of them belong to the last intervals. Count wraps around.
-	Count  uint32
-	Recent uint32
+	// it, and Recent how many of them belong to the last intervals and were not refunded.
+	// Count wraps around.
+	Count uint32
+	// Refunds is how many of Count were refunded. It wraps around, too.
+	Refunds uint32
+	Recent  uint32
 	// Demand is what was asked for, with the time constant that all instances use.
 	Demand float64
 	// Active is the number of instances with requests of the account.
@@ -115,13 +118,14 @@
 	a.advance(now, s, b)
 	row := Row{Account: a.id, Active: 1}
 	for origin := range int(scope) + 1 { // each scope adds one origin
-		row.Count += a.counts[origin]
+		row.Count += a.counts[origin] + a.refunds[origin]
+		row.Refunds += a.refunds[origin]
 		row.Recent += uint32(max(int32(a.counts[origin]-a.marks[origin]), 0))
 		row.Demand += a.demand[origin]
 		row.Active += a.active[origin]
 	}
 	if scope == ScopeOwn {
-		a.reported = a.counts[originOwn]
+		a.reported, a.reportedRefunds = row.Count, row.Refunds
 	}
 	return row
 }
@@ -146,10 +150,13 @@
 
 // reported is the usage of one account at a source.
 type reported struct {
-	// progress is the count that was charged.
-	progress uint32
-	demand   float64
-	active   int
+	// progress is the count that was charged, and refunds the number of refunds that was
+	// taken into account.
+	progress, refunds uint32
+	// net is what was charged and not given back.
+	net    uint32
+	active int32
+	demand float64
 	// at is when it was last reported.
 	at time.Time
 }
@@ -191,11 +198,13 @@
 	return next
 }
 
-// streamRow is the last row of an account in a stream. Offset is added to its counts, so that
-// the two reporters of a failure domain, which have counted since different times, agree.
+// streamRow is the last row of an account in a stream. The offsets are added to its counts and
+// refunds, so that the two reporters of a failure domain, which have counted since different times,
+// agree.
 type streamRow struct {
-	sequence uint32
-	offset   uint32
+	sequence     uint32
+	offset       uint32
+	refundOffset uint32
 }
 
 // MergeUsage charges what another process reports: in ScopeOwn about itself, in ScopeDomain about
@@ -253,8 +262,8 @@
 	return from
 }
 
-// merge charges a row. Counts only ever advance: a row that is late or arrives twice adds
-// nothing.
+// merge charges a row and gives back its refunds. Both only ever advance: a row that is late or
+// arrives twice adds nothing.
 func (a *account) merge(now time.Time, s standing, b Bounds, scope Scope, from *source, current *stream, sequence uint32, row Row, isLearning bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -275,6 +284,7 @@
 			charge = 0
 		}
 		last.offset = known.progress + charge - row.Count
+		last.refundOffset = known.refunds - row.Refunds // Recent does not include them
 	}
 	last.sequence = sequence
 	current.rows[row.Account] = last
@@ -282,21 +292,27 @@
 	if scope == ScopeOwn {
 		origin = originDirect
 	}
-	if charge := int32(row.Count + last.offset - known.progress); charge > 0 {
-		if !known.at.IsZero() && known.at.Before(from.returnedAt) || now.Sub(from.returnedAt) < backlogTime {
-			a.chargeReturned(origin, float64(charge), from.silence, b)
-		} else {
-			a.charge(origin, float64(charge))
-		}
-		known.progress += uint32(charge)
+	charge := uint32(max(int32(row.Count+last.offset-known.progress), 0))
+	refunds := uint32(max(int32(row.Refunds+last.refundOffset-known.refunds), 0))
+	known.progress += charge
+	known.refunds += refunds
+	// No more is given back than was charged: counts that were taken for old were not.
+	credited := min(refunds, known.net+charge)
+	known.net += charge - credited
+	a.refunds[origin] += credited
+	isReturned := !known.at.IsZero() && known.at.Before(from.returnedAt) || now.Sub(from.returnedAt) < backlogTime
+	if isReturned && charge > credited {
+		a.chargeReturned(origin, float64(charge-credited), from.silence, b)
+	} else {
+		a.charge(origin, float64(charge)-float64(credited))
 	}
 	if scope == ScopeTotal {
 		a.demand[origin] = row.Demand
 	} else {
 		a.demand[origin] = max(a.demand[origin]+row.Demand-known.demand*a.decay(now.Sub(known.at)), 0)
 	}
-	a.active[origin] += row.Active - known.active
-	known.demand, known.at, known.active = row.Demand, now, row.Active
+	a.active[origin] += row.Active - int(known.active)
+	known.demand, known.at, known.active = row.Demand, now, int32(row.Active)
 	from.usage[row.Account] = known
 }
 
@@ -305,7 +321,8 @@
 func (a *account) withoutOwn(row Row) Row {
 	row.Active = max(row.Active-1, 0)
 	row.Count -= a.reported
-	row.Recent -= min(row.Recent, uint32(max(int32(a.reported-a.marks[originOwn]), 0)))
+	row.Refunds -= a.reportedRefunds
+	row.Recent -= min(row.Recent, uint32(max(int32(a.reported-a.reportedRefunds-a.marks[originOwn]), 0)))
 	row.Demand = max(row.Demand-a.demand[originOwn], 0)
 	return row
 }
@@ -404,7 +421,7 @@
 	for id, known := range from.usage {
 		if a := d.byID[id]; a != nil {
 			a.mu.Lock()
-			a.active[origin] = max(a.active[origin]-known.active, 0)
+			a.active[origin] = max(a.active[origin]-int(known.active), 0)
 			a.mu.Unlock()
 		}
 	}
--- a/internal/traffic/quota/usage_test.go
+++ b/internal/traffic/quota/usage_test.go
@@ -88,3 +88,119 @@
 	receiver.Step(now, Fleet{Listed: 2})
 	require.Equal(t, 1, receiver.heard[ScopeTotal])
 }
+
+// Guards against credit that is given back at one instance and stays spent at the others, whatever
+// is lost, doubled or reordered on the way, and if a process restarts.
+func TestRefundsReachOtherInstances(t *testing.T) {
+	sender, receiver, now := newTestPair(t)
+	a := receiver.find("a")
+	total := uint32(0)
+	for process := range uint64(3) {
+		if process > 0 {
+			sender = newTestLimiter(process + 1)
+			sender.Configure(now, accountOf(100, 100))
+		}
+		reports := []Usage{}
+		for range 6 {
+			now = now.Add(100 * time.Millisecond)
+			receiver.Step(now, Fleet{Listed: 2})
+			admitted := spend(sender, now, 30)
+			require.Positive(t, admitted)
+			reports = append(reports, sender.TakeUsage(now, ScopeOwn, 10))
+			for n := range admitted - 1 {
+				sender.Refund(now, "a")
+				if n == admitted/2 {
+					reports = append(reports, sender.TakeUsage(now, ScopeOwn, 10))
+				}
+			}
+			total++
+			reports = append(reports, sender.TakeUsage(now, ScopeOwn, 10))
+		}
+		for _, n := range []int{0, 0, 3, 1, 5, 4, 5, 2, 9, 17, 16, 12, 17, 3} {
+			receiver.MergeUsage(now, ScopeOwn, "i1", "i1", reports[n])
+		}
+		require.Equal(t, total, a.counts[originDirect], "process %d", process)
+		require.InDelta(t, total, a.spentSum, 1e-6)
+	}
+	require.InDelta(t, 100, a.level, float64(total))
+}
+
+// Guards against a level that stays low at other instances after a refund of all requests.
+func TestRefundRestoresTheLevelOfOtherInstances(t *testing.T) {
+	sender, receiver, now := newTestPair(t)
+	admitted := spend(sender, now, 60)
+	require.Positive(t, admitted)
+	exchangeUsage(sender, receiver, now)
+	require.InDelta(t, 100-admitted, receiver.find("a").level, 1e-6)
+	for range admitted {
+		sender.Refund(now, "a")
+	}
+	exchangeUsage(sender, receiver, now)
+	require.InDelta(t, 100, sender.find("a").level, 1e-6)
+	require.InDelta(t, 100, receiver.find("a").level, 1e-6)
+}
+
+// Guards against refunds that two reporters of a failure domain pass on and that give credit back
+// twice, and against sums of all instances from which a receiver subtracts its own refunds wrongly.
+func TestRefundsInSumsGiveCreditBackOnce(t *testing.T) {
+	now := start
+	receiver, member, instance := newTestLimiter(99), newTestLimiter(98), newTestLimiter(1)
+	reporters := []*Limiter{newTestLimiter(2), newTestLimiter(3)}
+	for _, l := range append(reporters, receiver, member, instance) {
+		l.Configure(now, accountOf(1000, 1000))
+		l.Step(now, Fleet{Listed: 5})
+	}
+	now = now.Add(learningTime)
+	refund := func(l *Limiter, n int) {
+		for range n {
+			l.Refund(now, "a")
+		}
+	}
+	total, ofMember := 0, 0
+	for n := range 40 {
+		now = now.Add(100 * time.Millisecond)
+		if n%2 == 0 {
+			total += spend(instance, now, 10)
+			ofMember += spend(member, now, 7)
+		} else {
+			refund(instance, 8)
+			refund(member, 5)
+			total, ofMember = total-8, ofMember-5
+		}
+		usages := map[string]Usage{"i1": instance.TakeUsage(now, ScopeOwn, 10), "i98": member.TakeUsage(now, ScopeOwn, 10)}
+		for k, reporter := range reporters {
+			if k == 1 && n < 10 {
+				continue // it starts later, and has counted less
+			}
+			name := []string{"reporter0", "reporter1"}[k]
+			for from, usage := range usages {
+				reporter.MergeUsage(now, ScopeOwn, from, from, usage)
+			}
+			receiver.MergeUsage(now, ScopeDomain, "d1", name, reporter.TakeUsage(now, ScopeDomain, 10))
+			member.MergeUsage(now, ScopeTotal, "", name, reporter.TakeUsage(now, ScopeTotal, 10))
+		}
+	}
+	require.Positive(t, ofMember)
+	require.EqualValues(t, total+ofMember, receiver.find("a").counts[originFar])
+	require.EqualValues(t, total, member.find("a").counts[originFar])
+	require.EqualValues(t, ofMember, member.find("a").counts[originOwn])
+}
+
+// Guards against credit for refunds of requests that were never charged here, which would raise
+// what may be spent above the limit: a process that has just started takes first counts for old.
+func TestRefundsOfUnchargedRequestsGiveNoCredit(t *testing.T) {
+	sender, _, now := newTestPair(t)
+	receiver := newTestLimiter(98)
+	receiver.Configure(now, accountOf(100, 100))
+	receiver.Step(now, Fleet{Listed: 2})
+	admitted := spend(sender, now, 60)
+	require.Positive(t, admitted)
+	exchangeUsage(sender, receiver, now)
+	for range admitted {
+		sender.Refund(now, "a")
+	}
+	exchangeUsage(sender, receiver, now)
+	a := receiver.find("a")
+	require.Zero(t, a.counts[originDirect])
+	require.InDelta(t, 0, a.spentSum, 1e-6)
+}
