Keep nothing for accounts that the configuration no longer holds

The names of counters per account, and the lists of accounts to be reported, grew with each version of the configuration. The lists of sums are drained at reporters only, and without an exchange none is.

Tests: go test ./internal/traffic/quota -run 'TestRemoved|TestUnreported' failed before (counters of all 50 versions); TestRemovedAccountsAreNotKeptForReports also fails with removal from the lists disabled (840 accounts in place of 20), and TestUnreportedUsageIsReportedWhenALimitReturns with the scheduling of returned accounts disabled. go test ./internal/traffic/quota passes now.

--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -50,7 +50,6 @@
 	id        uint32
 	createdAt time.Time
 	name      string
-	label     string
 	// rank orders the instances at random, from 0 to 1.
 	rank float64
 
--- a/internal/traffic/quota/limiter.go
+++ b/internal/traffic/quota/limiter.go
@@ -11,7 +11,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,9 +42,6 @@
 	return b
 }
 
-// maxLabels bounds the accounts that have counters of their own. The others share one.
-const maxLabels = 100
-
 // Limiter decides which requests are within the limits of their accounts. It is safe for
 // concurrent use. Bounds, Count and Log must be set before the first use.
 type Limiter struct {
@@ -146,7 +142,8 @@
 	// All instances must derive the same ids, also of names with the same hash.
 	slices.SortStableFunc(limited, func(a, b redwingstall.ClientAccount) int { return cmp.Compare(a.Name, b.Name) })
 	s := l.currentStanding(now)
-	for n, configured := range limited {
+	var returned []*account
+	for _, configured := range limited {
 		if next.byName[configured.Name] != nil {
 			continue // the decoder refuses two accounts of one name
 		}
@@ -159,22 +156,21 @@
 			a = previous.byName[configured.Name]
 		}
 		if a == nil {
-			a = l.removed[configured.Name]
+			if a = l.removed[configured.Name]; a != nil {
+				returned = append(returned, a)
+			}
 		}
 		if a == nil || a.id != id {
 			a = &account{id: id, name: configured.Name, rank: l.rank(id)}
 		}
 		a.configure(now, s, configured, l.bounds())
-		if a.label == "" {
-			a.label = "quota.refused.other"
-			if n < maxLabels {
-				a.label = "quota.refused.account." + printable(configured.Name)
-			}
-		}
 		next.byName[a.name], next.byID[id] = a, a
 	}
 	l.keepRemoved(previous, next)
 	l.directory.Store(next)
+	for scope := range l.changes {
+		l.changes[scope].configure(next, Scope(scope), returned)
+	}
 }
 
 // maxRemoved bounds the removed accounts that are kept.
@@ -214,20 +210,6 @@
 	return rand.New(rand.NewPCG(l.Process, uint64(id))).Float64()
 }
 
-// maxLabelBytes bounds the part of a counter's name that an account's name makes up.
-const maxLabelBytes = 64
-
-// printable returns a name without what would break a line of metrics.
-func printable(name string) string {
-	name = strings.Map(func(r rune) rune {
-		if r <= ' ' || r > '~' {
-			return '_'
-		}
-		return r
-	}, name)
-	return name[:min(len(name), maxLabelBytes)]
-}
-
 // Admit reports whether a request of an account is within the limit, and charges it. A refused
 // request may return after retryAfter. Accounts without a limit are always admitted.
 func (l *Limiter) Admit(now time.Time, name string) (isAdmitted bool, retryAfter time.Duration) {
@@ -242,7 +224,6 @@
 		return true, 0
 	}
 	l.Count("quota.refused")
-	l.Count(a.label)
 	if decision.isOnset {
 		l.Log.Info("account over its limit", "account", a.name, "level", decision.level, "share", s.share(), "heard", s.heard,
 			"listed", s.listed, "weight", decision.weight, "knowledgeAge", now.Sub(s.at).String(), "retryAfter", decision.retryAfter.String())
--- a/internal/traffic/quota/usage.go
+++ b/internal/traffic/quota/usage.go
@@ -78,7 +78,7 @@
 // that include it.
 func (l *Limiter) markChanged(a *account, from Scope) {
 	for n := int(from); n < scopes; n++ {
-		if a.sendsLeft[n].Swap(sendsPerChange) == 0 {
+		if a.sendsLeft[n].Swap(sendsPerChange) <= 0 {
 			c := &l.changes[n]
 			c.mu.Lock()
 			c.accounts = append(c.accounts, a)
@@ -87,6 +87,25 @@
 	}
 }
 
+// configure removes the accounts that are not in the directory: no report may ever be taken in this
+// scope. Accounts that return are scheduled again if they had changed.
+func (c *changeList) configure(d *directory, scope Scope, returned []*account) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accounts = slices.DeleteFunc(c.accounts, func(a *account) bool { return d.byID[a.id] != a })
+	scheduled := map[*account]bool{}
+	if len(returned) > 0 {
+		for _, a := range c.accounts {
+			scheduled[a] = true
+		}
+	}
+	for _, a := range returned {
+		if d.byID[a.id] == a && a.sendsLeft[scope].Load() > 0 && !scheduled[a] {
+			c.accounts = append(c.accounts, a)
+		}
+	}
+}
+
 // TakeUsage returns the next report in a scope, with up to maxRows of the accounts that changed.
 func (l *Limiter) TakeUsage(now time.Time, scope Scope, maxRows int) Usage {
 	s, b := l.currentStanding(now), l.bounds()
--- a/internal/traffic/quota/usage_test.go
+++ b/internal/traffic/quota/usage_test.go
@@ -1,10 +1,13 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/redwingstall/redwingstall"
 )
 
 // newTestPair returns two limiters of a fleet of two that have been in touch for 10 s, and the time
@@ -204,3 +207,52 @@
 	require.Zero(t, a.counts[originDirect])
 	require.InDelta(t, 0, a.spentSum, 1e-6)
 }
+
+// Guards against memory that grows with each version of the configuration: names of counters, and
+// accounts that wait for reports of sums that an instance without that role never sends.
+func TestRemovedAccountsAreNotKeptForReports(t *testing.T) {
+	const versions, perVersion = 50, 20
+	l, names := newTestLimiter(1), map[string]bool{}
+	l.Count = func(name string) { names[name] = true }
+	now := start
+	for version := range versions {
+		accounts := []redwingstall.ClientAccount{}
+		for n := range perVersion {
+			accounts = append(accounts, redwingstall.ClientAccount{Name: fmt.Sprintf("account%d-%d", version, n), Rate: 0.1, Burst: 1})
+		}
+		l.Configure(now, accounts)
+		for _, a := range accounts {
+			for range 30 {
+				l.Admit(now, a.Name)
+			}
+		}
+		now = now.Add(time.Second)
+		l.TakeUsage(now, ScopeOwn, perVersion)
+	}
+	require.Equal(t, map[string]bool{"quota.refused": true}, names)
+	for scope := range l.changes {
+		require.LessOrEqual(t, len(l.changes[scope].accounts), perVersion, "scope %d", scope)
+	}
+}
+
+// Guards against an account that is removed before its usage was reported, and whose usage the
+// others don't learn of when it returns.
+func TestUnreportedUsageIsReportedWhenALimitReturns(t *testing.T) {
+	l := newTestLimiter(1)
+	l.Configure(start, accountOf(10, 10))
+	admitted := spend(l, start, 5)
+	require.Positive(t, admitted)
+	l.Configure(start, nil)
+	require.Empty(t, l.TakeUsage(start, ScopeOwn, 10).Rows)
+	l.Configure(start, accountOf(10, 10))
+	for scope := range Scope(scopes) {
+		for range sendsPerChange {
+			usage := l.TakeUsage(start, scope, 10)
+			require.Len(t, usage.Rows, 1)
+			require.EqualValues(t, admitted, usage.Rows[0].Count)
+		}
+		require.Empty(t, l.TakeUsage(start, scope, 10).Rows)
+	}
+	require.Positive(t, spend(l, start.Add(time.Second), 1))
+	require.Len(t, l.TakeUsage(start, ScopeTotal, 10).Rows, 1, "it is still scheduled for reports")
+}
