Evict the accounts that were removed first

Beyond 10,000 removed accounts all of them were forgotten at once. One that returned restarted its counts under the same process, and the other instances charged nothing until these had caught up.

--- a/internal/traffic/quota/limiter.go
+++ b/internal/traffic/quota/limiter.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"hash/fnv"
 	"log/slog"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -60,7 +61,7 @@
 	mu       sync.Mutex
 	sources  map[sourceKey]*source
 	sequence uint32
-	removed  map[string]*account
+	removed  map[string]removedAccount
 	// startedAt and steppedAt are the times of the first and the last Step. Until
 	// doubtedUntil, reports may be older than their arrival.
 	startedAt    time.Time
@@ -156,7 +157,7 @@
 			a = previous.byName[configured.Name]
 		}
 		if a == nil {
-			if a = l.removed[configured.Name]; a != nil {
+			if a = l.removed[configured.Name].account; a != nil {
 				returned = append(returned, a)
 			}
 		}
@@ -166,7 +167,7 @@
 		a.configure(now, s, configured, l.bounds())
 		next.byName[a.name], next.byID[id] = a, a
 	}
-	l.keepRemoved(previous, next)
+	l.keepRemoved(now, previous, next)
 	l.directory.Store(next)
 	for scope := range l.changes {
 		l.changes[scope].configure(next, Scope(scope), returned)
@@ -176,23 +177,37 @@
 // maxRemoved bounds the removed accounts that are kept.
 const maxRemoved = 10_000
 
+// removedAccount is an account that lost its limit at a time.
+type removedAccount struct {
+	*account
+	at time.Time
+}
+
 // keepRemoved keeps the accounts that lost their limit. Their counts go on when it returns, as
-// other instances expect of the same process.
-func (l *Limiter) keepRemoved(previous, next *directory) {
+// other instances expect of the same process. If there are too many, those removed first are
+// evicted.
+func (l *Limiter) keepRemoved(now time.Time, previous, next *directory) {
 	if previous == nil {
 		return
 	}
-	if l.removed == nil || len(l.removed) > maxRemoved {
-		l.removed = map[string]*account{}
+	if l.removed == nil {
+		l.removed = map[string]removedAccount{}
 	}
 	for name, a := range previous.byName {
 		if next.byName[name] == nil {
-			l.removed[name] = a
+			l.removed[name] = removedAccount{a, now}
 		}
 	}
 	for name := range next.byName {
 		delete(l.removed, name)
 	}
+	if len(l.removed) <= maxRemoved {
+		return
+	}
+	byAge := slices.SortedFunc(maps.Values(l.removed), func(a, b removedAccount) int { return a.at.Compare(b.at) })
+	for _, a := range byAge[:len(byAge)-maxRemoved] {
+		delete(l.removed, a.name)
+	}
 }
 
 func hasLimit(a redwingstall.ClientAccount) bool { return a.Rate > 0 && !math.IsInf(a.Rate, 1) }
--- a/internal/traffic/quota/quota_test.go
+++ b/internal/traffic/quota/quota_test.go
@@ -139,6 +139,44 @@
 	require.EqualValues(t, admitted, l.find("a").counts[originOwn])
 }
 
+// Guards against the removal of many accounts that makes others, removed recently, count from zero
+// again when they return, while other instances expect the counts of the same process to go on.
+func TestAccountsRemovedLastAreKept(t *testing.T) {
+	l, now := newTestLimiter(1), start
+	numbered := func(prefix string, n int) []redwingstall.ClientAccount {
+		accounts := []redwingstall.ClientAccount{}
+		for k := range n {
+			accounts = append(accounts, redwingstall.ClientAccount{Name: fmt.Sprint(prefix, k), Rate: 10, Burst: 10})
+		}
+		return accounts
+	}
+	configure := func(accounts []redwingstall.ClientAccount) {
+		now = now.Add(time.Second)
+		l.Configure(now, accounts)
+	}
+	configure(numbered("first", 100))
+	configure(numbered("many", maxRemoved-50))
+	configure(accountOf(10, 10)) // "many" is removed
+	admitted := spend(l, now, 5)
+	require.Positive(t, admitted)
+	configure(numbered("last", 10)) // "a" is removed
+	configure(nil)
+	countKept := func(accounts []redwingstall.ClientAccount) (kept int) {
+		for _, a := range accounts {
+			if _, isKept := l.removed[a.Name]; isKept {
+				kept++
+			}
+		}
+		return kept
+	}
+	require.Equal(t, maxRemoved-50, countKept(numbered("many", maxRemoved-50)))
+	require.Equal(t, 10, countKept(numbered("last", 10)))
+	require.Equal(t, 100-61, countKept(numbered("first", 100)), "those removed first are evicted")
+	require.Equal(t, maxRemoved, len(l.removed))
+	configure(accountOf(10, 10))
+	require.EqualValues(t, admitted, l.find("a").counts[originOwn])
+}
+
 // Guards against accounts whose names have the same hash and that share a limit.
 func TestNamesOfOneHashAreApart(t *testing.T) {
 	require.Equal(t, hash("costarring"), hash("liquid"))
