--- a/internal/traffic/quota/account.go
+++ b/internal/traffic/quota/account.go
@@ -50,7 +50,6 @@
 	id        uint32
 	createdAt time.Time
 	name      string
-	label     string
 	// rank orders the instances at random, from 0 to 1.
 	rank float64
 
@@ -72,16 +71,17 @@
 	// tokens are what this instance may spend before others know of it.
 	tokens float64
 	// counts are the admitted requests of this instance, of those that report to it and of
-	// the others; demand is the same for what was asked for, decaying.
-	counts [origins]uint32
-	demand [origins]float64
+	// the others, less the refunded ones, whose number is in refunds; demand is what was asked
+	// for, decaying.
+	counts, refunds [origins]uint32
+	demand          [origins]float64
 	// active is the number of instances with requests of the account.
 	active [origins]int
 	// marks and nextMarks are the counts between one and two marking intervals ago, and at
-	// the last mark. reported is the own count of the last report.
-	marks, nextMarks [origins]uint32
-	reported         uint32
-	markedAt         time.Time
+	// the last mark. reported and reportedRefunds are the own part of the last report.
+	marks, nextMarks          [origins]uint32
+	reported, reportedRefunds uint32
+	markedAt                  time.Time
 	// spent are the known requests of the last window, by slot.
 	spent      [slotsPerWindow + 1]float64
 	spentSum   float64
@@ -366,7 +366,11 @@
 	a.counts[origin] += uint32(n)
 	covered := min(a.reserve, n)
 	a.reserve -= covered
-	a.spend(n-covered, n*min(b.Window.Seconds()/silence.Seconds(), 1))
+	inWindow := n
+	if silence > b.Window {
+		inWindow *= b.Window.Seconds() / silence.Seconds()
+	}
+	a.spend(n-covered, inWindow)
 }
 
 func (a *account) refund(now time.Time, s standing, b Bounds) {
@@ -374,6 +378,7 @@
 	defer a.mu.Unlock()
 	a.advance(now, s, b)
 	a.charge(originOwn, -1)
+	a.refunds[originOwn]++
 	a.tokens++
 	a.demand[originOwn] = max(a.demand[originOwn]-1, 0)
 }
--- a/internal/traffic/quota/limiter.go
+++ b/internal/traffic/quota/limiter.go
@@ -8,10 +8,10 @@
 	"cmp"
 	"hash/fnv"
 	"log/slog"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,9 +43,6 @@
 	return b
 }
 
-// maxLabels bounds the accounts that have counters of their own. The others share one.
-const maxLabels = 100
-
 // Limiter decides which requests are within the limits of their accounts. It is safe for
 // concurrent use. Bounds, Count and Log must be set before the first use.
 type Limiter struct {
@@ -64,7 +61,7 @@
 	mu       sync.Mutex
 	sources  map[sourceKey]*source
 	sequence uint32
-	removed  map[string]*account
+	removed  map[string]removedAccount
 	// startedAt and steppedAt are the times of the first and the last Step. Until
 	// doubtedUntil, reports may be older than their arrival.
 	startedAt    time.Time
@@ -146,7 +143,8 @@
 	// All instances must derive the same ids, also of names with the same hash.
 	slices.SortStableFunc(limited, func(a, b redwingstall.ClientAccount) int { return cmp.Compare(a.Name, b.Name) })
 	s := l.currentStanding(now)
-	for n, configured := range limited {
+	var returned []*account
+	for _, configured := range limited {
 		if next.byName[configured.Name] != nil {
 			continue // the decoder refuses two accounts of one name
 		}
@@ -159,44 +157,57 @@
 			a = previous.byName[configured.Name]
 		}
 		if a == nil {
-			a = l.removed[configured.Name]
+			if a = l.removed[configured.Name].account; a != nil {
+				returned = append(returned, a)
+			}
 		}
 		if a == nil || a.id != id {
 			a = &account{id: id, name: configured.Name, rank: l.rank(id)}
 		}
 		a.configure(now, s, configured, l.bounds())
-		if a.label == "" {
-			a.label = "quota.refused.other"
-			if n < maxLabels {
-				a.label = "quota.refused.account." + printable(configured.Name)
-			}
-		}
 		next.byName[a.name], next.byID[id] = a, a
 	}
-	l.keepRemoved(previous, next)
+	l.keepRemoved(now, previous, next)
 	l.directory.Store(next)
+	for scope := range l.changes {
+		l.changes[scope].configure(next, Scope(scope), returned)
+	}
 }
 
 // maxRemoved bounds the removed accounts that are kept.
 const maxRemoved = 10_000
 
+// removedAccount is an account that lost its limit at a time.
+type removedAccount struct {
+	*account
+	at time.Time
+}
+
 // keepRemoved keeps the accounts that lost their limit. Their counts go on when it returns, as
-// other instances expect of the same process.
-func (l *Limiter) keepRemoved(previous, next *directory) {
+// other instances expect of the same process. If there are too many, those removed first are
+// evicted.
+func (l *Limiter) keepRemoved(now time.Time, previous, next *directory) {
 	if previous == nil {
 		return
 	}
-	if l.removed == nil || len(l.removed) > maxRemoved {
-		l.removed = map[string]*account{}
+	if l.removed == nil {
+		l.removed = map[string]removedAccount{}
 	}
 	for name, a := range previous.byName {
 		if next.byName[name] == nil {
-			l.removed[name] = a
+			l.removed[name] = removedAccount{a, now}
 		}
 	}
 	for name := range next.byName {
 		delete(l.removed, name)
 	}
+	if len(l.removed) <= maxRemoved {
+		return
+	}
+	byAge := slices.SortedFunc(maps.Values(l.removed), func(a, b removedAccount) int { return a.at.Compare(b.at) })
+	for _, a := range byAge[:len(byAge)-maxRemoved] {
+		delete(l.removed, a.name)
+	}
 }
 
 func hasLimit(a redwingstall.ClientAccount) bool { return a.Rate > 0 && !math.IsInf(a.Rate, 1) }
@@ -214,20 +225,6 @@
 	return rand.New(rand.NewPCG(l.Process, uint64(id))).Float64()
 }
 
-// maxLabelBytes bounds the part of a counter's name that an account's name makes up.
-const maxLabelBytes = 64
-
-// printable returns a name without what would break a line of metrics.
-func printable(name string) string {
-	name = strings.Map(func(r rune) rune {
-		if r <= ' ' || r > '~' {
-			return '_'
-		}
-		return r
-	}, name)
-	return name[:min(len(name), maxLabelBytes)]
-}
-
 // Admit reports whether a request of an account is within the limit, and charges it. A refused
 // request may return after retryAfter. Accounts without a limit are always admitted.
 func (l *Limiter) Admit(now time.Time, name string) (isAdmitted bool, retryAfter time.Duration) {
@@ -242,7 +239,6 @@
 		return true, 0
 	}
 	l.Count("quota.refused")
-	l.Count(a.label)
 	if decision.isOnset {
 		l.Log.Info("account over its limit", "account", a.name, "level", decision.level, "share", s.share(), "heard", s.heard,
 			"listed", s.listed, "weight", decision.weight, "knowledgeAge", now.Sub(s.at).String(), "retryAfter", decision.retryAfter.String())
--- a/internal/traffic/quota/usage.go
+++ b/internal/traffic/quota/usage.go
@@ -10,9 +10,12 @@
 type Row struct {
 	Account uint32
 	// Count is the number of admitted requests since the start of the process that reports
-	// it, and Recent how many of them belong to the last intervals. Count wraps around.
-	Count  uint32
-	Recent uint32
+	// it, and Recent how many of them belong to the last intervals and were not refunded.
+	// Count wraps around.
+	Count uint32
+	// Refunds is how many of Count were refunded. It wraps around, too.
+	Refunds uint32
+	Recent  uint32
 	// Demand is what was asked for, with the time constant that all instances use.
 	Demand float64
 	// Active is the number of instances with requests of the account.
@@ -61,6 +64,8 @@
 	backlogTime = 200 * time.Millisecond
 	// forgetTime is the time without reports after which a source is removed.
 	forgetTime = time.Minute
+	// maxReplaced bounds the processes of a sender that are known to have been replaced.
+	maxReplaced = 4
 )
 
 // changeList holds the accounts to be reported in one scope, each once.
@@ -73,7 +78,7 @@
 // that include it.
 func (l *Limiter) markChanged(a *account, from Scope) {
 	for n := int(from); n < scopes; n++ {
-		if a.sendsLeft[n].Swap(sendsPerChange) == 0 {
+		if a.sendsLeft[n].Swap(sendsPerChange) <= 0 {
 			c := &l.changes[n]
 			c.mu.Lock()
 			c.accounts = append(c.accounts, a)
@@ -82,6 +87,25 @@
 	}
 }
 
+// configure removes the accounts that are not in the directory: no report may ever be taken in this
+// scope. Accounts that return are scheduled again if they had changed.
+func (c *changeList) configure(d *directory, scope Scope, returned []*account) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accounts = slices.DeleteFunc(c.accounts, func(a *account) bool { return d.byID[a.id] != a })
+	scheduled := map[*account]bool{}
+	if len(returned) > 0 {
+		for _, a := range c.accounts {
+			scheduled[a] = true
+		}
+	}
+	for _, a := range returned {
+		if d.byID[a.id] == a && a.sendsLeft[scope].Load() > 0 && !scheduled[a] {
+			c.accounts = append(c.accounts, a)
+		}
+	}
+}
+
 // TakeUsage returns the next report in a scope, with up to maxRows of the accounts that changed.
 func (l *Limiter) TakeUsage(now time.Time, scope Scope, maxRows int) Usage {
 	s, b := l.currentStanding(now), l.bounds()
@@ -113,13 +137,14 @@
 	a.advance(now, s, b)
 	row := Row{Account: a.id, Active: 1}
 	for origin := range int(scope) + 1 { // each scope adds one origin
-		row.Count += a.counts[origin]
+		row.Count += a.counts[origin] + a.refunds[origin]
+		row.Refunds += a.refunds[origin]
 		row.Recent += uint32(max(int32(a.counts[origin]-a.marks[origin]), 0))
 		row.Demand += a.demand[origin]
 		row.Active += a.active[origin]
 	}
 	if scope == ScopeOwn {
-		a.reported = a.counts[originOwn]
+		a.reported, a.reportedRefunds = row.Count, row.Refunds
 	}
 	return row
 }
@@ -136,17 +161,21 @@
 	streams map[string]*stream
 	// heardAt is when a report arrived last, and returnedAt when instances came back in touch.
 	heardAt, returnedAt time.Time
-	// silence is how long they were out of touch, at least.
+	// silence is how long they were out of touch, at least, or zero for a new source, whose
+	// usage counts in full.
 	silence time.Duration
 	usage   map[uint32]reported
 }
 
 // reported is the usage of one account at a source.
 type reported struct {
-	// progress is the count that was charged.
-	progress uint32
-	demand   float64
-	active   int
+	// progress is the count that was charged, and refunds the number of refunds that was
+	// taken into account.
+	progress, refunds uint32
+	// net is what was charged and not given back.
+	net    uint32
+	active int32
+	demand float64
 	// at is when it was last reported.
 	at time.Time
 }
@@ -160,13 +189,41 @@
 	heard    int
 	isFresh  bool
 	rows     map[uint32]streamRow
+	// replaced are the sender's previous processes, the last one at the end.
+	replaced []replacedProcess
+}
+
+// replacedProcess is a process whose sender reported as another one at a time. A report of it that
+// arrives later must not replace the newer process: the counts of both would be charged again.
+type replacedProcess struct {
+	process uint64
+	at      time.Time
 }
 
-// streamRow is the last row of an account in a stream. Offset is added to its counts, so that
-// the two reporters of a failure domain, which have counted since different times, agree.
+// isReplaced reports whether a process was replaced by the one of the stream. Nil knows none.
+func (s *stream) isReplaced(now time.Time, process uint64) bool {
+	return s != nil && slices.ContainsFunc(s.replaced, func(r replacedProcess) bool {
+		return r.process == process && now.Sub(r.at) < forgetTime
+	})
+}
+
+// next returns an empty stream of the process that replaces the one of s, which may be nil.
+func (s *stream) next(now time.Time, process uint64) *stream {
+	next := &stream{process: process, rows: map[uint32]streamRow{}}
+	if s != nil {
+		next.replaced = append(slices.Clone(s.replaced), replacedProcess{s.process, now})
+		next.replaced = next.replaced[max(len(next.replaced)-maxReplaced, 0):]
+	}
+	return next
+}
+
+// streamRow is the last row of an account in a stream. The offsets are added to its counts and
+// refunds, so that the two reporters of a failure domain, which have counted since different times,
+// agree.
 type streamRow struct {
-	sequence uint32
-	offset   uint32
+	sequence     uint32
+	offset       uint32
+	refundOffset uint32
 }
 
 // MergeUsage charges what another process reports: in ScopeOwn about itself, in ScopeDomain about
@@ -181,12 +238,18 @@
 	}
 	from := l.source(sourceKey{scope, name})
 	current := from.streams[sender]
+	if current.isReplaced(now, usage.Process) {
+		return
+	}
 	if current == nil || current.process != usage.Process {
-		current = &stream{process: usage.Process, rows: map[uint32]streamRow{}}
+		current = current.next(now, usage.Process)
 		from.streams[sender] = current
 	}
 	if silence := now.Sub(from.heardAt); silence > silenceTimeout || usage.Heard > current.heard {
 		from.returnedAt, from.silence = now, max(silence, silenceTimeout)
+		if from.heardAt.IsZero() {
+			from.silence = 0
+		}
 	}
 	from.heardAt = now
 	if int32(usage.Sequence-current.sequence) > 0 || current.heardAt.IsZero() {
@@ -218,8 +281,8 @@
 	return from
 }
 
-// merge charges a row. Counts only ever advance: a row that is late or arrives twice adds
-// nothing.
+// merge charges a row and gives back its refunds. Both only ever advance: a row that is late or
+// arrives twice adds nothing.
 func (a *account) merge(now time.Time, s standing, b Bounds, scope Scope, from *source, current *stream, sequence uint32, row Row, isLearning bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -240,6 +303,7 @@
 			charge = 0
 		}
 		last.offset = known.progress + charge - row.Count
+		last.refundOffset = known.refunds - row.Refunds // Recent does not include them
 	}
 	last.sequence = sequence
 	current.rows[row.Account] = last
@@ -247,21 +311,27 @@
 	if scope == ScopeOwn {
 		origin = originDirect
 	}
-	if charge := int32(row.Count + last.offset - known.progress); charge > 0 {
-		if known.at.Before(from.returnedAt) || now.Sub(from.returnedAt) < backlogTime {
-			a.chargeReturned(origin, float64(charge), from.silence, b)
-		} else {
-			a.charge(origin, float64(charge))
-		}
-		known.progress += uint32(charge)
+	charge := uint32(max(int32(row.Count+last.offset-known.progress), 0))
+	refunds := uint32(max(int32(row.Refunds+last.refundOffset-known.refunds), 0))
+	known.progress += charge
+	known.refunds += refunds
+	// No more is given back than was charged: counts that were taken for old were not.
+	credited := min(refunds, known.net+charge)
+	known.net += charge - credited
+	a.refunds[origin] += credited
+	isReturned := !known.at.IsZero() && known.at.Before(from.returnedAt) || now.Sub(from.returnedAt) < backlogTime
+	if isReturned && charge > credited {
+		a.chargeReturned(origin, float64(charge-credited), from.silence, b)
+	} else {
+		a.charge(origin, float64(charge)-float64(credited))
 	}
 	if scope == ScopeTotal {
 		a.demand[origin] = row.Demand
 	} else {
 		a.demand[origin] = max(a.demand[origin]+row.Demand-known.demand*a.decay(now.Sub(known.at)), 0)
 	}
-	a.active[origin] += row.Active - known.active
-	known.demand, known.at, known.active = row.Demand, now, row.Active
+	a.active[origin] += row.Active - int(known.active)
+	known.demand, known.at, known.active = row.Demand, now, int32(row.Active)
 	from.usage[row.Account] = known
 }
 
@@ -270,7 +340,8 @@
 func (a *account) withoutOwn(row Row) Row {
 	row.Active = max(row.Active-1, 0)
 	row.Count -= a.reported
-	row.Recent -= min(row.Recent, uint32(max(int32(a.reported-a.marks[originOwn]), 0)))
+	row.Refunds -= a.reportedRefunds
+	row.Recent -= min(row.Recent, uint32(max(int32(a.reported-a.reportedRefunds-a.marks[originOwn]), 0)))
 	row.Demand = max(row.Demand-a.demand[originOwn], 0)
 	return row
 }
@@ -369,7 +440,7 @@
 	for id, known := range from.usage {
 		if a := d.byID[id]; a != nil {
 			a.mu.Lock()
-			a.active[origin] = max(a.active[origin]-known.active, 0)
+			a.active[origin] = max(a.active[origin]-int(known.active), 0)
 			a.mu.Unlock()
 		}
 	}
