Send the demand for servers apart from the rows of load reports

The column for demand had made each row 30 bytes, also without admission by value, so that instances of two versions took each other's rows for reports about other servers. Rows have 12 columns again and a datagram up to 48 of them. The demand precedes the datagram behind a prefix, like the usage of accounts, while the feature is in use and there is any. An additional element of the array would not do: the decoder rejects arrays of another length.

TestReportsKeepTheirFormatWithoutDemand fails in each case with the column put back (rows of 30 bytes, datagrams of 1,496 bytes), TestDemandReachesOtherInstances if receive drops the demands. TestReportsSurviveEncoding and TestFindInSums check the demand in its new place.

--- a/internal/fleet/peers/datagram.go
+++ b/internal/fleet/peers/datagram.go
@@ -33,6 +33,8 @@
 	RepairEra int64
 	// usage of client accounts precedes the rest of the message, or is nil.
 	usage *quota.Usage
+	// demands precede the rest of the message too, or are nil.
+	demands demandTable
 }
 
 // loadTable encodes reports as rows of fixed length: the short id of the server in 32
@@ -40,7 +42,8 @@
 type loadTable []byte
 
 // The columns of a row. Shares are in percent, counts of attempts in tenths, times in
-// milliseconds, demand in hundredths of a slot.
+// milliseconds. Their number must stay: an instance of another version takes rows of another
+// length for reports about other servers.
 const (
 	columnInFlight = iota
 	columnOpenConnections
@@ -54,7 +57,6 @@
 	columnFailures
 	columnUnansweredTime
 	columnSources
-	columnDemand
 	loadColumns
 )
 
@@ -96,7 +98,6 @@
 		columnFailures:        r.Failures * tenths,
 		columnUnansweredTime:  float64(r.UnansweredTime.Milliseconds()),
 		columnSources:         float64(r.Sources),
-		columnDemand:          r.Demand * percent,
 	}
 	if r.HasLoad {
 		columns[columnRunning] = float64(r.Load.Running)
@@ -108,7 +109,7 @@
 	return columns
 }
 
-func decodeReports(table loadTable, idsByShortID map[uint32]string) []placement.Report {
+func decodeReports(table reportTable, idsByShortID map[uint32]string) []placement.Report {
 	reports := make([]placement.Report, 0, table.rows())
 	for n := range table.rows() {
 		if id, found := idsByShortID[table.id(n)]; found { // else it is not in this instance's view yet
@@ -121,7 +122,20 @@
 // id returns the short id of the server of a row.
 func (t loadTable) id(row int) uint32 { return binary.LittleEndian.Uint32(t[row*loadRowBytes:]) }
 
+// reportTable is a table of reports with their demands, if there are any.
+type reportTable struct {
+	loadTable
+	demands demandTable
+}
+
 // report decodes a row, whose server has the given id.
+func (t reportTable) report(row int, id string) placement.Report {
+	r := t.loadTable.report(row, id)
+	r.Demand = t.demands.at(row)
+	return r
+}
+
+// report decodes a row without its demand.
 func (t loadTable) report(row int, id string) placement.Report {
 	columns := t[row*loadRowBytes+idBytes:]
 	column := func(i int) int { return int(binary.LittleEndian.Uint16(columns[columnBytes*i:])) }
@@ -143,7 +157,6 @@
 		Failures:       float64(column(columnFailures)) / tenths,
 		UnansweredTime: millis(columnUnansweredTime),
 		Sources:        column(columnSources),
-		Demand:         float64(column(columnDemand)) / percent,
 	}
 }
 
@@ -153,7 +166,7 @@
 }
 
 // Find returns the report about a server. The rows must be sorted by short id.
-func (t loadTable) Find(server string) (placement.Report, bool) {
+func (t reportTable) Find(server string) (placement.Report, bool) {
 	id := shortID(server)
 	row := sort.Search(t.rows(), func(n int) bool { return t.id(n) >= id })
 	if row == t.rows() || t.id(row) != id {
--- a/internal/fleet/peers/peers.go
+++ b/internal/fleet/peers/peers.go
@@ -39,7 +39,7 @@
 	// these send sums.
 	reportInterval = 200 * time.Millisecond
 	// maxLoadsPerDatagram keeps a datagram below the usual MTU.
-	maxLoadsPerDatagram = 46
+	maxLoadsPerDatagram = 48
 	// maxSumsPerDatagram bounds a datagram with sums to 30 KB. Fewer datagrams cost the
 	// receivers less, and the next sums replace one that is lost.
 	maxSumsPerDatagram = 1000
@@ -102,6 +102,8 @@
 	usageSentAt  time.Time
 	// uptime is a clock that includes suspensions, or nil.
 	uptime func() time.Duration
+	// isDemandInUse reports whether other instances use the demand for servers, or is nil.
+	isDemandInUse func() bool
 
 	mu              sync.Mutex
 	topologyOf      *view.Snapshot
@@ -302,8 +304,17 @@
 // sendReports splits reports into as many datagrams as needed. The first one carries
 // the rest of the message.
 func (e *Exchange) sendReports(message datagram, reports []placement.Report, perDatagram int, peers []view.Peer) {
+	sendsDemand := e.sendsDemand()
 	for first := true; first || len(reports) > 0; first = false {
 		n := min(len(reports), perDatagram)
+		message.demands = nil
+		if sendsDemand {
+			message.demands = encodeDemands(reports[:n])
+			if message.demands != nil && perDatagram == maxLoadsPerDatagram {
+				n = min(n, maxLoadsWithDemand)
+				message.demands = encodeDemands(reports[:n])
+			}
+		}
 		message.Loads = encodeReports(reports[:n])
 		e.send(message, peers)
 		reports = reports[n:]
@@ -317,7 +328,7 @@
 		e.log.Error("datagram encoding failed", "error", err.Error())
 		return
 	}
-	e.writeDatagram(prependUsage(message.usage, encoded), peers)
+	e.writeDatagram(prependUsage(message.usage, prependDemands(message.demands, encoded)), peers)
 }
 
 // writeDatagram sends a datagram to peers. Send errors are ignored, as losses are: the
--- a/internal/fleet/peers/receive.go
+++ b/internal/fleet/peers/receive.go
@@ -35,11 +35,15 @@
 		}
 		var message datagram
 		usage, rest, err := splitUsage(buffer[:n])
+		var demands demandTable
+		if err == nil {
+			demands, rest, err = splitDemands(rest)
+		}
 		stamp, encoded := cutConfirmation(rest)
 		if err == nil {
 			err = cbor.Unmarshal(encoded, &message)
 		}
-		message.usage = usage
+		message.usage, message.demands = usage, demands
 		if err != nil {
 			e.log.Warn("datagram decoding failed", "bytes", n, "error", err.Error())
 			continue
@@ -76,14 +80,15 @@
 	if message.Loads.rows() == 0 {
 		return
 	}
+	table := reportTable{message.Loads, message.demands}
 	if message.IsTotal {
 		// A reporter has the reports that the sums are made of.
 		if t.hasSums && !t.isReporter {
-			e.estimator.MergeTotalReports(now, message.Loads)
+			e.estimator.MergeTotalReports(now, table)
 		}
 		return
 	}
-	reports := decodeReports(message.Loads, e.serverIDs())
+	reports := decodeReports(table, e.serverIDs())
 	switch {
 	case message.Domain == "":
 		e.estimator.MergeReports(now, message.From, reports)
--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -122,6 +122,7 @@
 		Bounds: quota.Bounds{Window: node.Bounds.QuotaWindow, Overrun: node.Bounds.QuotaOverrun, Slack: node.Bounds.QuotaSlack},
 	}
 	g.exchange.ShareQuotas(g.quotas)
+	g.exchange.ShareDemand(func() bool { return g.features().Admission })
 	record, err := view.PeerRecord(g.exchange.Self())
 	if err != nil {
 		return nil, err
