Bound the preferred servers that are evaluated for a request

For each preferred server the whole list of servers was searched, and with few instances a request evaluated hundreds of servers.

--- a/internal/traffic/dispatch/dispatch_test.go
+++ b/internal/traffic/dispatch/dispatch_test.go
@@ -38,6 +38,8 @@
 	exhausted map[string]bool
 	// ended servers refuse connections.
 	ended map[string]bool
+	// assessed counts how often the connections of a server were asked for.
+	assessed int
 }
 
 func (f *fakeBackends) HasEnded(_ context.Context, id, _ string, _ backends.Limits) bool {
@@ -74,6 +76,7 @@
 func (f *fakeBackends) Connections(id, _ string) (open, idle int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.assessed++
 	if f.exhausted[id] {
 		return 1000, 0
 	}
--- a/internal/traffic/dispatch/pooled.go
+++ b/internal/traffic/dispatch/pooled.go
@@ -134,7 +134,7 @@
 	if len(s.Peers) <= maxExactInstances || !d.features().EvenLoad {
 		return best, fastest
 	}
-	if preferred, cost := d.preferredChoice(s, j, servers, now, isAcceptable); preferred != nil && (best == nil || affinity.Prefers(cost, bestCost)) {
+	if preferred, cost := d.preferredChoice(s, j, now, isAcceptable); preferred != nil && (best == nil || affinity.Prefers(cost, bestCost)) {
 		d.Counter.Count("choices.preferredSlot")
 		if fastest == nil {
 			fastest = preferred
--- a/internal/traffic/dispatch/preferred.go
+++ b/internal/traffic/dispatch/preferred.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,26 +24,29 @@
 	peersVersion int64
 	servers      []affinity.Server
 	slots        affinity.Slots
+	// ids are the servers with preferred slots, sorted.
+	ids []string
 }
 
-// find returns the preferred slots of a service. They are computed again only when the
-// instances or the servers have changed.
-func (p *preferredSlots) find(s *view.Snapshot, service, instance, domain string) affinity.Slots {
+// find returns the servers of a service with preferred slots, and these. They are computed
+// again only when the instances or the servers have changed.
+func (p *preferredSlots) find(s *view.Snapshot, service, instance, domain string) (ids []string, slots affinity.Slots) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d, found := p.services[service]
 	if found && d.sequence == s.Sequence {
-		return d.slots
+		return d.ids, d.slots
 	}
 	servers := sharedServers(s, service, domain)
 	if !found || d.peersVersion != s.PeersVersion || !slices.Equal(d.servers, servers) {
 		d.slots = affinity.Divide(instance, sharingInstances(s, domain), servers)
+		d.ids = slices.Sorted(maps.Keys(d.slots))
 	}
 	if p.services == nil {
 		p.services = map[string]division{}
 	}
-	p.services[service] = division{s.Sequence, s.PeersVersion, servers, d.slots}
-	return d.slots
+	p.services[service] = division{s.Sequence, s.PeersVersion, servers, d.slots, d.ids}
+	return d.ids, d.slots
 }
 
 func sharedServers(s *view.Snapshot, service, domain string) []affinity.Server {
@@ -66,15 +70,24 @@
 }
 
 // preferredChoice returns the server with a free preferred slot and the lowest cost, or
-// nil. It must be among the servers, acceptable and have capacity.
-func (d *Dispatcher) preferredChoice(s *view.Snapshot, j *job, servers []*view.Server, now time.Time, isAcceptable func(*choice) bool) (best *choice, bestCost float64) {
-	for id, slots := range d.preferred.find(s, j.service, d.InstanceName, d.FailureDomain) {
+// nil. It must be open to the request, acceptable and have capacity. It evaluates at most
+// sampledEvaluations servers, beginning at a random one: in a service with many servers for
+// each instance, an instance prefers slots of hundreds.
+func (d *Dispatcher) preferredChoice(s *view.Snapshot, j *job, now time.Time, isAcceptable func(*choice) bool) (best *choice, bestCost float64) {
+	ids, slots := d.preferred.find(s, j.service, d.InstanceName, d.FailureDomain)
+	first, evaluations := int(d.Random()*float64(len(ids))), sampledEvaluations
+	for i := range ids {
+		id := ids[(first+i)%len(ids)]
 		server := s.ByID[id]
-		if server == nil || !slices.Contains(servers, server) {
+		if server == nil || server.Service != j.service || !d.isOpen(s, j, server, now) {
 			continue
 		}
+		if evaluations == 0 {
+			break
+		}
+		evaluations--
 		c := d.assess(s, j, server, now)
-		if c.estimate.Own >= slots || !isAcceptable(c) || !c.hasCapacity(j.route.Kind) {
+		if c.estimate.Own >= slots[id] || !isAcceptable(c) || !c.hasCapacity(j.route.Kind) {
 			continue
 		}
 		if cost := d.trialCost(j, server, c.estimate.QueueLength, d.cost(j, c)); best == nil || cost < bestCost {
@@ -83,3 +96,8 @@
 	}
 	return best, bestCost
 }
+
+// isOpen reports whether a server may get the request, as far as its load does not matter.
+func (d *Dispatcher) isOpen(s *view.Snapshot, j *job, server *view.Server, now time.Time) bool {
+	return s.IsUsable(server) && !j.triedServers[server.ID] && d.backoffs.Left(now, server.Process()) <= 0
+}
