--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -3,13 +3,16 @@
 import (
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/fleet/view"
+	"github.com/redwingstall/redwingstall/internal/node/features"
 	"github.com/redwingstall/redwingstall/internal/node/settings"
+	"github.com/redwingstall/redwingstall/internal/observe/metrics"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 
@@ -82,3 +85,23 @@
 		})
 	}
 }
+
+// Guards against key rates that do not follow the switch of even load. Nearly all requests are
+// of the last half second, so that the rates by it are higher.
+func TestKeyRatesFollowEvenLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry := metrics.NewRegistry()
+		registry.CountKey(time.Now(), "x", 5)
+		time.Sleep(5 * time.Second)
+		for range 400 {
+			registry.CountKey(time.Now(), "x", 5)
+			time.Sleep(time.Millisecond)
+		}
+		usual, volatile := registry.KeyRates("x"), registry.VolatileKeyRates("x")
+		require.Greater(t, volatile[5], 1.5*usual[5])
+		for mode, expected := range map[features.Mode][]float32{features.On: volatile, features.Off: usual} {
+			g := &Gateway{view: view.NewView(slog.New(slog.DiscardHandler), 0), metrics: registry, node: settings.Node{Features: features.Modes{EvenLoad: mode}}}
+			require.InDelta(t, expected[5], capacityEstimator{g}.KeyRates("x")[5], 0.01*float64(expected[5]), mode)
+		}
+	})
+}
--- a/internal/ownership/assign/rebalance_test.go
+++ b/internal/ownership/assign/rebalance_test.go
@@ -335,3 +335,22 @@
 	require.Less(t, spreadAfter(true), 2*time.Second)
 	require.Greater(t, spreadAfter(false), 2*time.Second)
 }
+
+// Guards against the short interval between rounds where load is not evened, and against the usual
+// one where it is.
+func TestRebalanceIntervalFollowsEvenLoad(t *testing.T) {
+	for _, evensLoad := range []bool{false, true} {
+		cluster := newClusterState(13, nil)
+		a := NewAssigner(0, simulationTiming, shardmap.Map{})
+		runFor(a, 0, 3*time.Second, cluster)
+		cluster.KeyRates, cluster.EvensLoad = hotRates(), evensLoad
+		rebalances := func(now time.Duration) bool {
+			draft := a.Map().Clone() // without the moves of the round before
+			return a.rebalance(now, &draft, cluster)
+		}
+		require.True(t, rebalances(4*time.Second))
+		require.False(t, rebalances(4200*time.Millisecond))
+		require.Equal(t, evensLoad, rebalances(4300*time.Millisecond))
+		require.True(t, rebalances(4900*time.Millisecond))
+	}
+}
