End early responses to callers that stop within their bodies

Track replaced the body of the server's own request. net/http decides by the type of that body how much of the rest it reads before the head of a response, and so read up to 256 KB from a caller that sent nothing more. The handler now gets a copy of the request. A streamed body keeps its read deadline until the response starts, and has it again at the end of the response.

Before the change, TestEarlyResponseDoesNotWaitForTheBody blocked within chunkWriter.writeHeader, and both cases of TestEarlyResponseEndsByTheDeadline failed with "i/o timeout" after 10 s. Now both pass (go test ./internal/entry/eviction ./pkg/caller).

--- a/internal/entry/eviction/listener.go
+++ b/internal/entry/eviction/listener.go
@@ -122,12 +122,15 @@
 		}
 		c.add(1, 0)
 		defer c.add(-1, 0)
+		// The server's own request keeps its body: by the body's type the server decides how much
+		// of the rest it reads before a response.
+		copied := *r
 		if r.Body != nil && r.Body != http.NoBody {
 			body := &trackedBody{ReadCloser: r.Body, connection: c}
 			defer body.end()
-			r.Body = body
+			copied.Body = body
 		}
-		handler.ServeHTTP(&trackedWriter{w, c}, r)
+		handler.ServeHTTP(&trackedWriter{w, c}, &copied)
 	})
 }
 
--- a/pkg/caller/relay.go
+++ b/pkg/caller/relay.go
@@ -24,6 +24,11 @@
 func (r *Router) relayResponse(ctx context.Context, w http.ResponseWriter, q *request, response *http.Response) {
 	markResponseStarted(ctx)
 	writeHeader(w, response)
+	if q.streamedBody != nil {
+		endRequestBody(w)
+		// Bounds what the server reads of the rest after the response.
+		defer func() { _ = http.NewResponseController(w).SetReadDeadline(q.deadline) }()
+	}
 	progress := newProgress(response)
 	for {
 		err := r.copyBody(ctx, w, response, progress)
@@ -40,6 +45,15 @@
 	}
 }
 
+// endRequestBody sends the head of a response, before which the server reads up to 256 KB of the rest
+// of the request's body. The read deadline bounds that, and is then removed: with it, a download that
+// takes longer would be cancelled.
+func endRequestBody(w http.ResponseWriter) {
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(time.Time{})
+}
+
 func writeHeader(w http.ResponseWriter, response *http.Response) {
 	header := w.Header()
 	for name, values := range endToEndHeader(response.Header) {
--- a/pkg/caller/router.go
+++ b/pkg/caller/router.go
@@ -153,14 +153,15 @@
 	r.relayResponse(ctx, w, q, response)
 }
 
-// readBody reads the body of a request until its deadline. If there is no memory for it, the
+// readBody reads the body of a request until its deadline, which remains set for a streamed body
+// until the response starts. If there is no memory for it, the
 // connection that holds the most and has made no progress is closed for later ones.
 func (r *Router) readBody(w http.ResponseWriter, incoming *http.Request, q *request) *requestError {
 	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(q.deadline)
 	invalid := q.readBody(incoming, r.common.Settings.Limits, r.buffers.requests)
 	switch {
-	case invalid == nil:
+	case invalid == nil && q.streamedBody == nil:
 		_ = controller.SetReadDeadline(time.Time{})
 	case invalid == errNoMemory:
 		eviction.EvictLargest(incoming.Context(), time.Now(), slowCallerTime)
