Cut off callers that do not read a stream

stallWriter did not see Flush: http.ResponseController unwrapped it. Small pieces of a response of unknown length only enter the buffer in Write, and the flush blocked without a limit. FlushError now counts as a write does, and an error of a flush ends the copy.

--- a/pkg/caller/relay.go
+++ b/pkg/caller/relay.go
@@ -147,7 +147,10 @@
 			return errors.Mark(ctx.Err(), errCallerConnection)
 		}
 		if response.ContentLength < 0 {
-			_ = flusher.Flush() // a response of unknown length may be a stream
+			// A response of unknown length may be a stream.
+			if err := flusher.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+				return errors.Mark(err, errCallerConnection)
+			}
 		}
 	}
 }
--- a/pkg/caller/slowcaller.go
+++ b/pkg/caller/slowcaller.go
@@ -38,7 +38,7 @@
 }
 
 // newStallWriter returns a writer that asks whether others wait for what the response holds, while
-// the caller is slow. The caller of this function calls stop at the end.
+// the caller is slow.
 func newStallWriter(w http.ResponseWriter, isWaitedFor func() bool, count func(name string)) *stallWriter {
 	return &stallWriter{ResponseWriter: w, isWaitedFor: isWaitedFor, count: count}
 }
@@ -51,6 +51,15 @@
 	return n, err
 }
 
+// FlushError sends what is buffered. Small pieces of a response of unknown length only enter the
+// buffer in Write, so that a slow caller blocks here.
+func (w *stallWriter) FlushError() error {
+	w.begin()
+	err := http.NewResponseController(w.ResponseWriter).Flush()
+	w.end(0)
+	return err
+}
+
 func (w *stallWriter) begin() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/pkg/caller/slowcaller_test.go
+++ b/pkg/caller/slowcaller_test.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -11,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingstall/redwingstall/internal/entry/eviction"
+	"github.com/redwingstall/redwingstall/internal/entry/sockets"
 )
 
 // slowReader is a caller that accepts bytes at a rate, until its deadline.
@@ -74,3 +77,40 @@
 		})
 	}
 }
+
+// Guards against a caller that does not read a stream and holds its slot without end: small pieces
+// of a response of unknown length block when they are flushed, not when they are written.
+func TestCallerThatDoesNotReadAStreamIsCutOff(t *testing.T) {
+	const piece, longest = 1 << 10, 10 * time.Second
+	ended := make(chan error, 1)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		// Ends the handler if the caller is not cut off.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(longest))
+		s := newStallWriter(w, func() bool { return true }, func(string) {})
+		for {
+			_, err := s.Write(make([]byte, piece))
+			if err == nil {
+				err = http.NewResponseController(s).Flush()
+			}
+			if err != nil {
+				ended <- err
+				return
+			}
+		}
+	}))
+	limited, err := sockets.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, server.Listener.Close())
+	server.Listener = limited
+	server.Start()
+	defer server.Close()
+	client, err := net.Dial("tcp", limited.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	require.NoError(t, client.(*net.TCPConn).SetReadBuffer(piece))
+	began := time.Now()
+	_, err = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.ErrorIs(t, <-ended, os.ErrDeadlineExceeded)
+	require.Less(t, time.Since(began), longest/2)
+}
