Measure the time of a body since its client's last progress

The gateway cut a response 20 s after its start, or 2 s in a shortage of memory, and an upload 20 s after its header, although the client read or sent steadily. Both limits now count from the last 32 KB. For an upload only the waits for the client count, not those for the server.

The receive buffer stays at 64 KB. docs/design/slow-clients.md says why.

Before the change, each case of TestSteadyBodiesAreNotCut failed: the responses ended early, and the upload with "read/write on closed pipe". Now they pass, and TestUploadOfSingleBytesIsCut too (go test ./internal/entry/callers).

--- a/internal/entry/callers/body.go
+++ b/internal/entry/callers/body.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/redwingstall/redwingstall/internal/entry/eviction"
 )
 
 const (
@@ -126,6 +128,8 @@
 // which slows down the client to the pace of the server.
 type bodyStream struct {
 	source io.Reader
+	// extend sets the deadline of the reads. It may be nil.
+	extend func(deadline time.Time)
 	// isStarted is read while a read waits for the client, so mu does not guard it.
 	isStarted atomic.Bool
 
@@ -133,6 +137,13 @@
 	mu       sync.Mutex
 	isClosed bool
 	err      error
+	// received is the number of bytes since the last step, and waited the time of their reads.
+	received int
+	waited   time.Duration
+
+	// deadlineMu guards the deadline, so that no read extends it after close has interrupted it.
+	deadlineMu    sync.Mutex
+	isInterrupted bool
 }
 
 var errBodyClosed = errors.New("callers: the request has ended")
@@ -148,11 +159,26 @@
 	if s.err != nil {
 		return 0, s.err
 	}
+	began := time.Now()
+	s.extendDeadline(began.Add(bodyTimeout - s.waited))
 	n, err := s.source.Read(p)
 	s.err = err
+	s.waited += time.Since(began)
+	if s.received += n; s.received >= eviction.StepBytes {
+		s.received, s.waited = 0, 0
+	}
 	return n, err
 }
 
+// extendDeadline sets the deadline of a read. The time between the reads is the server's.
+func (s *bodyStream) extendDeadline(deadline time.Time) {
+	s.deadlineMu.Lock()
+	defer s.deadlineMu.Unlock()
+	if !s.isInterrupted && s.extend != nil {
+		s.extend(deadline)
+	}
+}
+
 // IsStarted reports whether a part was read. The body cannot be sent again then.
 func (s *bodyStream) IsStarted() bool { return s.isStarted.Load() }
 
@@ -164,7 +190,10 @@
 // close ends the stream, interrupting a read in progress. It returns io.EOF if the
 // body was read completely, and otherwise the reason why not.
 func (s *bodyStream) close(connection deadlineSetter) error {
+	s.deadlineMu.Lock()
+	s.isInterrupted = true
 	_ = connection.SetReadDeadline(time.Unix(1, 0))
+	s.deadlineMu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.err == nil {
--- a/internal/entry/callers/connection.go
+++ b/internal/entry/callers/connection.go
@@ -22,7 +22,7 @@
 const (
 	// pipelineDepth bounds the unanswered requests of one connection.
 	pipelineDepth = 16
-	// writeTimeout bounds the time to write one response to a slow client.
+	// writeTimeout bounds the time in which a client accepts eviction.StepBytes of a response.
 	writeTimeout = 20 * time.Second
 	// slowWriteTime is the time after which a client counts as slow to read its response.
 	slowWriteTime = 2 * time.Second
@@ -32,7 +32,8 @@
 	pipelinedMemory = 32 << 10
 	// maxCopiedBody is the size in bytes up to which a body is written in one piece with its head.
 	maxCopiedBody = 16 << 10
-	// bodyTimeout bounds the time to read the buffered part of a request body.
+	// bodyTimeout bounds the time to read the buffered part of a request body, and the wait for
+	// each eviction.StepBytes of the rest.
 	bodyTimeout = 20 * time.Second
 	// lingerTimeout bounds how long a connection is read after its last response.
 	// Closing it with unread bytes would reset it, which can destroy the response.
@@ -237,6 +238,9 @@
 			place.release()
 			return c.reject(err, closed)
 		}
+		if body.rest != nil {
+			body.rest.extend = c.extendReadDeadline
+		}
 		arrived := time.Now()
 		next := &slot{request: head, isLast: head.Close, isStreamed: body.rest != nil, ready: make(chan struct{}), written: make(chan struct{})}
 		if !isRepeatable(head.Method) && !waitWritten(last, closed) || !c.enqueue(next, closed) {
@@ -361,6 +365,15 @@
 	s.isLast = s.isLast || !errors.Is(err, io.EOF)
 }
 
+// extendReadDeadline sets the deadline for reads of a body, unless the connection closes.
+func (c *connection) extendReadDeadline(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isClosing {
+		_ = c.raw.SetReadDeadline(deadline)
+	}
+}
+
 func (c *connection) endReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -536,7 +549,7 @@
 // memory that it takes.
 func (c *connection) writeAnswer(s *slot, isLast bool) error {
 	text, body := encodeAnswer(s, isLast)
-	for began := time.Now(); ; {
+	for progressAt := time.Now(); ; {
 		buffers := net.Buffers{text, body[:min(len(body), eviction.StepBytes)]}
 		_ = c.raw.SetWriteDeadline(time.Now().Add(slowWriteTime))
 		n, err := buffers.WriteTo(c.raw)
@@ -547,12 +560,13 @@
 		}
 		now := time.Now()
 		if err == nil {
+			progressAt = now
 			c.entry.Progress(now)
 		}
-		switch took := now.Sub(began); {
-		case took >= writeTimeout:
+		switch stalled := now.Sub(progressAt); {
+		case stalled >= writeTimeout:
 			return errSlowReader
-		case took >= slowWriteTime && c.server.isShortOfMemory():
+		case stalled >= slowWriteTime && c.server.isShortOfMemory():
 			c.server.config.Count("connections.cut.slowReader")
 			return errSlowReader
 		}
--- a/internal/entry/callers/slow_test.go
+++ b/internal/entry/callers/slow_test.go
@@ -197,3 +197,73 @@
 		require.GreaterOrEqual(t, f.server.Largest(time.Now()).Stalled, time.Since(began))
 	})
 }
+
+// steadyHandler answers with a large response, and reads the rest of the body of an upload.
+type steadyHandler struct{ size int }
+
+func (h steadyHandler) Serve(_ context.Context, r dispatch.Request) backends.Response {
+	if r.BodyRest != nil {
+		n, err := io.Copy(io.Discard, r.BodyRest)
+		return backends.Response{Status: http.StatusOK, Header: http.Header{}, Body: fmt.Append(nil, int(n)+len(r.Body), err)}
+	}
+	return backends.Response{Status: http.StatusOK, Header: http.Header{}, Body: make([]byte, h.size)}
+}
+
+// Guards against long bodies that are cut although their clients read or send steadily: those that
+// take longer than the time limits, which bound the time without progress. In a shortage of memory,
+// too.
+func TestSteadyBodiesAreNotCut(t *testing.T) {
+	const size, perSecond, pace = 4 << 20, 128 << 10, 10
+	for name, c := range map[string]struct{ isUpload, isShort bool }{
+		"download": {}, "downloadWhileShort": {isShort: true}, "upload": {isUpload: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			serveWith(t, defaultLimits, steadyHandler{size}, func(t *testing.T, f *fixture) {
+				f.server.config.IsShortOfMemory = func() bool { return c.isShort }
+				client, r := f.dial()
+				require.NoError(t, client.SetDeadline(time.Now().Add(time.Hour)))
+				if !c.isUpload {
+					send(t, client, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+					response, err := http.ReadResponse(r, nil)
+					require.NoError(t, err)
+					total := int64(0)
+					for err == nil {
+						var n int64
+						n, err = io.CopyN(io.Discard, response.Body, perSecond/pace)
+						total += n
+						time.Sleep(time.Second / pace)
+					}
+					require.ErrorIs(t, err, io.EOF)
+					require.EqualValues(t, size, total)
+					return
+				}
+				send(t, client, fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size))
+				piece := strings.Repeat("x", perSecond/pace)
+				for left := size; left > 0; left -= len(piece) {
+					send(t, client, piece[:min(left, len(piece))])
+					time.Sleep(time.Second / pace)
+				}
+				status, body, _ := answer(t, r)
+				require.Equal(t, http.StatusOK, status)
+				require.Equal(t, fmt.Sprint(size, error(nil)), body)
+			})
+		})
+	}
+}
+
+// Guards against an upload without an end: single bytes do not extend the time for a step.
+func TestUploadOfSingleBytesIsCut(t *testing.T) {
+	serveWith(t, defaultLimits, steadyHandler{}, func(t *testing.T, f *fixture) {
+		client, _ := f.dial()
+		require.NoError(t, client.SetDeadline(time.Now().Add(time.Hour)))
+		send(t, client, fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 4<<20, pattern(maxBufferedBody+1)))
+		began := time.Now()
+		for time.Since(began) < 2*bodyTimeout {
+			if _, err := client.Write([]byte("x")); err != nil {
+				break
+			}
+			time.Sleep(time.Second)
+		}
+		require.Less(t, time.Since(began), bodyTimeout+2*time.Second+lingerTimeout)
+	})
+}
