Count blocked requests, not the ways in which they are blocked

A request that reads its body while its response is written counted twice as blocked. Its connection was then never closed for another one, and over HTTP/2 a request that ran beside it was cut. Each request now has a counter, and only its changes from 0 to 1 and back change the count of the connection.

Before the change, TestServerClosesStalledConnectionsForNewOnes/both saw no eviction and TestRequestBesideABlockedOneIsNotCut saw one. Now both pass (go test ./internal/entry/eviction).

--- a/internal/entry/eviction/listener.go
+++ b/internal/entry/eviction/listener.go
@@ -56,6 +56,14 @@
 	running, blocked int
 }
 
+// trackedRequest is a request that is served. It is blocked while it reads from the client, writes to
+// it, or both.
+type trackedRequest struct {
+	connection *connection
+	// blocks is the number of reads and writes that wait. The lock of the connection guards it.
+	blocks int
+}
+
 // Read reads from the client.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -85,18 +93,50 @@
 	}
 }
 
-// add changes the number of requests that are served or blocked. The connection waits for its
-// client while no request is served but those that are blocked.
-func (c *connection) add(running, blocked int) {
+// begin records a request that is served.
+func (c *connection) begin() *trackedRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running++
+	c.updateEntry(time.Now())
+	return &trackedRequest{connection: c}
+}
+
+// updateEntry records whether the connection waits for its client: no request is served but those
+// that are blocked. The caller holds the lock.
+func (c *connection) updateEntry(now time.Time) { c.entry.SetWaiting(now, c.running == c.blocked) }
+
+// end records that the request has been served.
+func (r *trackedRequest) end() {
+	c := r.connection
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running += running
-	c.blocked += blocked
+	c.running--
 	now := time.Now()
-	if running < 0 {
-		c.entry.Progress(now)
+	c.entry.Progress(now)
+	c.updateEntry(now)
+}
+
+// block records a read or write that waits for the client.
+func (r *trackedRequest) block() {
+	c := r.connection
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.blocks++; r.blocks == 1 {
+		c.blocked++
+		c.updateEntry(time.Now())
+	}
+}
+
+// unblock ends a block.
+func (r *trackedRequest) unblock() {
+	c := r.connection
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.blocks--; r.blocks == 0 {
+		c.blocked--
+		c.updateEntry(time.Now())
 	}
-	c.entry.SetWaiting(now, c.running == c.blocked)
 }
 
 type connectionKey struct{}
@@ -120,17 +160,17 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
-		c.add(1, 0)
-		defer c.add(-1, 0)
+		request := c.begin()
+		defer request.end()
 		// The server's own request keeps its body: by the body's type the server decides how much
 		// of the rest it reads before a response.
 		copied := *r
 		if r.Body != nil && r.Body != http.NoBody {
-			body := &trackedBody{ReadCloser: r.Body, connection: c}
+			body := &trackedBody{ReadCloser: r.Body, request: request}
 			defer body.end()
 			copied.Body = body
 		}
-		handler.ServeHTTP(&trackedWriter{w, c}, &copied)
+		handler.ServeHTTP(&trackedWriter{w, request}, &copied)
 	})
 }
 
@@ -151,16 +191,16 @@
 // a client that sends single bytes makes no progress by them.
 type trackedBody struct {
 	io.ReadCloser
-	connection *connection
-	once       sync.Once
-	isBlocked  atomic.Bool
+	request   *trackedRequest
+	once      sync.Once
+	isBlocked atomic.Bool
 }
 
 // Read reads from the client.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	b.once.Do(func() {
 		b.isBlocked.Store(true)
-		b.connection.add(0, 1)
+		b.request.block()
 	})
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
@@ -178,27 +218,27 @@
 // end ends the wait for the client, if there is one.
 func (b *trackedBody) end() {
 	if b.isBlocked.CompareAndSwap(true, false) {
-		b.connection.add(0, -1)
+		b.request.unblock()
 	}
 }
 
 // trackedWriter is a response whose writes wait for the client.
 type trackedWriter struct {
 	http.ResponseWriter
-	connection *connection
+	request *trackedRequest
 }
 
 // Write writes to the client.
 func (w *trackedWriter) Write(p []byte) (int, error) {
-	w.connection.add(0, 1)
-	defer w.connection.add(0, -1)
+	w.request.block()
+	defer w.request.unblock()
 	return w.ResponseWriter.Write(p)
 }
 
 // Flush sends what is buffered.
 func (w *trackedWriter) Flush() {
-	w.connection.add(0, 1)
-	defer w.connection.add(0, -1)
+	w.request.block()
+	defer w.request.unblock()
 	_ = http.NewResponseController(w.ResponseWriter).Flush()
 }
 
