Sum partial writes to steps, and give connections time to progress

Each write of the gateway that timed out began a new piece of 32 KB, and only a whole piece was progress, so that a steady reader of 15 KB/s looked stalled. The accepted bytes are now summed. A connection within a request or a response is no longer closed for a new one until it has made no progress for 100 ms. It could be closed at once for one that had sent nothing.

--- a/internal/entry/callers/connection.go
+++ b/internal/entry/callers/connection.go
@@ -135,8 +135,9 @@
 	}
 }
 
-// updateEntry records whether the connection waits for its client. The caller holds the lock.
+// updateEntry records whether the connection is idle and whether it waits for its client. The caller holds the lock.
 func (c *connection) updateEntry() {
+	c.entry.SetWithin(c.pending > 0 || c.isReading)
 	c.entry.SetWaiting(time.Now(), c.pending == 0 || c.isWriting || c.isStreaming)
 }
 
@@ -303,6 +304,7 @@
 		return errStopped
 	}
 	c.isReading, c.hasRequest = true, true
+	c.updateEntry()
 	return c.raw.SetReadDeadline(time.Now().Add(header))
 }
 
@@ -549,8 +551,9 @@
 // memory that it takes.
 func (c *connection) writeAnswer(s *slot, isLast bool) error {
 	text, body := encodeAnswer(s, isLast)
+	accepted := 0 // since the last step
 	for progressAt := time.Now(); ; {
-		buffers := net.Buffers{text, body[:min(len(body), eviction.StepBytes)]}
+		buffers := net.Buffers{text, body[:min(len(body), eviction.StepBytes-accepted)]}
 		_ = c.raw.SetWriteDeadline(time.Now().Add(slowWriteTime))
 		n, err := buffers.WriteTo(c.raw)
 		headBytes := min(int(n), len(text))
@@ -559,7 +562,8 @@
 			return err
 		}
 		now := time.Now()
-		if err == nil {
+		if accepted += int(n); accepted >= eviction.StepBytes {
+			accepted = 0
 			progressAt = now
 			c.entry.Progress(now)
 		}
--- a/internal/entry/callers/slow_test.go
+++ b/internal/entry/callers/slow_test.go
@@ -267,3 +267,49 @@
 		require.Less(t, time.Since(began), bodyTimeout+2*time.Second+lingerTimeout)
 	})
 }
+
+// pacedConnection is a connection whose client accepts bytes at a rate. As on TCP, a write that times
+// out returns what was accepted.
+type pacedConnection struct {
+	net.Conn
+	perSecond int
+	deadline  time.Time
+	// afterWrite is called after each write.
+	afterWrite func()
+}
+
+func (c *pacedConnection) SetWriteDeadline(deadline time.Time) error {
+	c.deadline = deadline
+	return nil
+}
+
+func (c *pacedConnection) Write(p []byte) (int, error) {
+	defer c.afterWrite()
+	left := time.Until(c.deadline)
+	if took := time.Duration(len(p)) * time.Second / time.Duration(c.perSecond); took <= left {
+		time.Sleep(took)
+		return len(p), nil
+	}
+	time.Sleep(left)
+	return int(left * time.Duration(c.perSecond) / time.Second), os.ErrDeadlineExceeded
+}
+
+// Guards against a steady reader that looks stalled because each of its writes times out within a
+// step.
+func TestReaderOfPartialStepsMakesProgress(t *testing.T) {
+	const size, perSecond = 600 << 10, 15 << 10
+	synctest.Test(t, func(t *testing.T) {
+		s := NewServer(nil, Config{})
+		raw := &pacedConnection{perSecond: perSecond}
+		c := newConnection(s, raw)
+		c.entry = s.table.Add(time.Now(), "client", func() {})
+		c.entry.Hold(1) // so that Largest returns it
+		longest := time.Duration(0)
+		raw.afterWrite = func() { longest = max(longest, s.Largest(time.Now()).Stalled) }
+		began := time.Now()
+		require.NoError(t, c.writeAnswer(&slot{answer: backends.Response{Status: http.StatusOK, Body: make([]byte, size)}}, false))
+		require.Greater(t, time.Since(began), writeTimeout)
+		require.Positive(t, longest)
+		require.Less(t, longest, 3*time.Second)
+	})
+}
--- a/internal/entry/eviction/listener.go
+++ b/internal/entry/eviction/listener.go
@@ -104,7 +104,10 @@
 
 // updateEntry records whether the connection waits for its client: no request is served but those
 // that are blocked. The caller holds the lock.
-func (c *connection) updateEntry(now time.Time) { c.entry.SetWaiting(now, c.running == c.blocked) }
+func (c *connection) updateEntry(now time.Time) {
+	c.entry.SetWithin(c.running > 0)
+	c.entry.SetWaiting(now, c.running == c.blocked)
+}
 
 // end records that the request has been served.
 func (r *trackedRequest) end() {
--- a/internal/entry/eviction/table.go
+++ b/internal/entry/eviction/table.go
@@ -12,6 +12,10 @@
 // as progressing. A client that moves single bytes never completes a step.
 const StepBytes = 32 << 10
 
+// minStall is the time without progress before a connection is closed for a new one within a request
+// or a response: one that has just begun to send or accept has had no time to.
+const minStall = 100 * time.Millisecond
+
 // Table holds the open connections of a listener. It is safe for concurrent use.
 type Table struct {
 	limit int
@@ -29,7 +33,9 @@
 	client string
 	cut    func()
 	// element is the place among those that wait for their clients, or nil.
-	element    *list.Element
+	element *list.Element
+	// isWithin is set within a request or a response.
+	isWithin   bool
 	progressAt time.Time
 	held       int64
 }
@@ -54,8 +60,9 @@
 
 // Add adds a connection that waits for its client's first request. If the table is full, it evicts
 // the connection that has waited for its client the longest without progress. It returns nil if
-// none waits for its client: the new connection has to be closed then. The function cut closes the
-// connection. It must not block or use the table.
+// none waits for its client, or if that one has made progress a moment ago within a request or a
+// response: the new connection has to be closed then. The function cut closes the connection. It must
+// not block or use the table.
 func (t *Table) Add(now time.Time, client string, cut func()) *Entry {
 	e := &Entry{table: t, client: client, cut: cut, progressAt: now}
 	t.mu.Lock()
@@ -65,7 +72,11 @@
 		if first == nil {
 			return nil
 		}
-		t.evict(first.Value.(*Entry))
+		oldest := first.Value.(*Entry)
+		if oldest.isWithin && now.Sub(oldest.progressAt) < minStall {
+			return nil
+		}
+		t.evict(oldest)
 	}
 	t.entries[e] = struct{}{}
 	e.element = t.waiting.PushBack(e)
@@ -164,6 +175,13 @@
 	e.element = nil
 }
 
+// SetWithin records whether the connection is within a request or a response, as opposed to idle.
+func (e *Entry) SetWithin(isWithin bool) {
+	e.table.mu.Lock()
+	defer e.table.mu.Unlock()
+	e.isWithin = isWithin
+}
+
 // Hold adds to the bytes that are held for the client, or subtracts from them.
 func (e *Entry) Hold(bytes int64) {
 	e.table.mu.Lock()
--- a/internal/entry/eviction/table_test.go
+++ b/internal/entry/eviction/table_test.go
@@ -55,6 +55,26 @@
 	require.Equal(t, []string{"c0"}, *cut)
 }
 
+// Guards against a response that is cut a moment after its start for a connection that has sent
+// nothing. An idle connection is closed at once.
+func TestConnectionHasTimeToProgress(t *testing.T) {
+	for name, isWithin := range map[string]bool{"within": true, "idle": false} {
+		t.Run(name, func(t *testing.T) {
+			table := eviction.NewTable(1)
+			entries, cut := fill(t, table, 1)
+			entries[0].SetWaiting(at(1), false)
+			entries[0].SetWithin(isWithin)
+			entries[0].SetWaiting(at(2), true)
+			require.Equal(t, isWithin, table.Add(at(2).Add(99*time.Millisecond), "new", func() {}) == nil)
+			if isWithin {
+				require.Empty(t, *cut)
+				require.NotNil(t, table.Add(at(2).Add(100*time.Millisecond), "new", func() {}))
+			}
+			require.Equal(t, []string{"c0"}, *cut)
+		})
+	}
+}
+
 // Guards against memory that a few clients hold without progress: the one that holds the most is
 // cut, unless its client makes progress or its request runs.
 func TestLargestWithoutProgressIsEvicted(t *testing.T) {
