Derive limits of serve only from settings that the file states

A file that states maxConnections or maxBufferedBytes, but neither memoryBytes nor maxDescriptors, got lower values than it states, and a memory limit of the Go runtime, by the defaults of the latter. Both are now unset by default. With the other defaults the bounds are as before: 4,096 connections and 256 MB. A stated 0 means not set, as the settings command prints it; it was an error.

Before the change, TestUnsetMachineLimitsLowerNothing got 4,096 connections of 20,000. Now it passes (go test ./pkg/settings ./pkg/app).

--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -73,11 +73,12 @@
 	// of requests that may be sent again, and half the responses of at-most-once services. There
 	// is always room for one of each.
 	MaxBufferedBytes int64 `toml:"maxBufferedBytes"`
-	// MemoryBytes is the memory of the process. MaxConnections and MaxBufferedBytes are lowered
-	// to what fits into it: a connection for each 256 KiB, and a quarter for bodies.
+	// MemoryBytes is the memory of the process. If it is set, the garbage collector runs more
+	// often near it, and MaxConnections and MaxBufferedBytes are lowered to what fits into it: a
+	// connection for each 256 KiB, and a quarter for bodies.
 	MemoryBytes int64 `toml:"memoryBytes"`
-	// MaxDescriptors is the number of descriptors that the process may open. MaxConnections is
-	// lowered to a quarter of it.
+	// MaxDescriptors is the number of descriptors that the process may open. If it is set,
+	// MaxConnections is lowered to a quarter of it.
 	MaxDescriptors int `toml:"maxDescriptors"`
 	// MaxConnections bounds the open connections of each listener. Beyond it, the one that waits
 	// longest for its client is closed for a new one.
@@ -217,8 +218,6 @@
 			MaxHeaderBytes:    16 * bytesPerKiB,
 			MaxBodyBytes:      4 * bytesPerMiB,
 			MaxBufferedBytes:  256 * bytesPerMiB,
-			MemoryBytes:       1024 * bytesPerMiB,
-			MaxDescriptors:    16384,
 			MaxConnections:    4096,
 			HeaderReadTimeout: 5 * time.Second,
 			IdleTimeout:       time.Minute,
@@ -366,8 +365,6 @@
 		{"limits.maxHeaderBytes", int64(s.Limits.MaxHeaderBytes)},
 		{"limits.maxBodyBytes", s.Limits.MaxBodyBytes},
 		{"limits.maxBufferedBytes", s.Limits.MaxBufferedBytes},
-		{"limits.memoryBytes", s.Limits.MemoryBytes},
-		{"limits.maxDescriptors", int64(s.Limits.MaxDescriptors)},
 		{"limits.maxConnections", int64(s.Limits.MaxConnections)},
 		{"policy.movesPerTick", int64(s.Policy.MovesPerTick)},
 		{"policy.journalMaxAnswerBytes", int64(s.Policy.JournalMaxAnswerBytes)},
@@ -377,6 +374,13 @@
 			file.AddError(setting.key, "%d is not positive", setting.value)
 		}
 	}
+	// Zero means not set.
+	if s.Limits.MemoryBytes < 0 {
+		file.AddError("limits.memoryBytes", "%d is negative", s.Limits.MemoryBytes)
+	}
+	if s.Limits.MaxDescriptors < 0 {
+		file.AddError("limits.maxDescriptors", "%d is negative", s.Limits.MaxDescriptors)
+	}
 	checkFraction(file, "timing.clockRateBound", s.Timing.ClockRateBound)
 	checkFraction(file, "policy.retryBudget", s.Policy.RetryBudget)
 	checkFraction(file, "policy.hedgeBudget", s.Policy.HedgeBudget)
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -96,6 +96,42 @@
 	require.Equal(t, 50, l.ConnectionLimit())
 }
 
+// Guards against a file written for an earlier version, whose limits the defaults of newer settings
+// would lower.
+func TestUnsetMachineLimitsLowerNothing(t *testing.T) {
+	text := func(limits string) []byte {
+		return fmt.Appendf(nil, `name = "a"
+failureDomain = "d"
+failureDomains = ["d"]
+[listen]
+callers = "127.0.0.1:1"
+operators = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+[platform]
+store = "127.0.0.1:4"
+liveList = "127.0.0.1:5"
+[operator]
+tokenFile = "token"
+[limits]
+maxConnections = 20000
+maxBufferedBytes = 1073741824
+%s`, limits)
+	}
+	unset, err := settings.Parse("unset", text(""))
+	require.NoError(t, err)
+	require.Equal(t, 20000, unset.Limits.ConnectionLimit())
+	require.EqualValues(t, 1<<30, unset.Limits.BufferedBytes())
+	require.Zero(t, unset.Limits.MemoryBytes, "no memory limit of the runtime")
+	set, err := settings.Parse("set", text("memoryBytes = 1073741824\nmaxDescriptors = 8192\n"))
+	require.NoError(t, err)
+	require.Equal(t, 2048, set.Limits.ConnectionLimit())
+	require.EqualValues(t, 256<<20, set.Limits.BufferedBytes())
+	for _, limit := range []string{"memoryBytes", "maxDescriptors"} {
+		_, err = settings.Parse("negative", text(limit+" = -1\n"))
+		require.ErrorContains(t, err, limit)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add("name = \"a\"\n[listen]\ncallers = \"127.0.0.1:1\"\n")
 	f.Add("[[tls]]\n")
