Limit evictions for the memory of requests in serve, too

The interval of 100 ms between two of them was the gateway's alone. serve could close many connections for memory that the first one frees. The interval is now the table's. TestLargestWithoutProgressIsEvicted keeps 100 ms between its evictions.

--- a/internal/entry/callers/server.go
+++ b/internal/entry/callers/server.go
@@ -57,8 +57,6 @@
 
 	// table decides which connections are closed.
 	table *eviction.Table
-	// evictedAt is when a connection was last closed for the memory of requests, in Unix nanoseconds.
-	evictedAt atomic.Int64
 
 	// buffered is the total bytes of the requests in memory.
 	buffered atomic.Int64
@@ -162,18 +160,6 @@
 // Largest returns the connection that holds the most.
 func (s *Server) Largest(now time.Time) eviction.Holder { return s.table.Largest(now) }
 
-// evictInterval is the time between two connections that are closed for the memory of requests, in
-// which the memory of the first is freed.
-const evictInterval = 100 * time.Millisecond
-
-// evictLargest closes the connection that holds the most, if its client is slow.
-func (s *Server) evictLargest(now time.Time) {
-	last := s.evictedAt.Load()
-	if now.UnixNano()-last >= int64(evictInterval) && s.evictedAt.CompareAndSwap(last, now.UnixNano()) {
-		s.table.EvictLargest(now, slowWriteTime)
-	}
-}
-
 // reservation is the memory reserved for one request.
 type reservation struct {
 	server *Server
@@ -185,7 +171,7 @@
 	s := r.server
 	if s.buffered.Add(bytes)+s.open.Load()*s.config.ConnectionMemory > s.config.MaxBuffered {
 		s.buffered.Add(-bytes)
-		s.evictLargest(time.Now())
+		s.table.EvictLargest(time.Now(), slowWriteTime)
 		return false
 	}
 	r.bytes += bytes
--- a/internal/entry/eviction/table.go
+++ b/internal/entry/eviction/table.go
@@ -16,6 +16,10 @@
 // or a response: one that has just begun to send or accept has had no time to.
 const minStall = 100 * time.Millisecond
 
+// evictInterval is the time between two searches for a connection to close for memory, in which the
+// memory of the first one is freed.
+const evictInterval = 100 * time.Millisecond
+
 // Table holds the open connections of a listener. It is safe for concurrent use.
 type Table struct {
 	limit int
@@ -25,6 +29,8 @@
 	// waiting are the entries that wait for their clients, the longest without progress first.
 	waiting *list.List
 	evicted int64
+	// searchedAt is when EvictLargest last searched.
+	searchedAt time.Time
 }
 
 // Entry is an open connection.
@@ -99,10 +105,15 @@
 }
 
 // EvictLargest closes the connection that holds the most bytes, of those that have waited for
-// their clients without progress for a time. It reports whether there was one.
+// their clients without progress for a time. It reports whether there was one. It does nothing within
+// evictInterval of the last search.
 func (t *Table) EvictLargest(now time.Time, stalled time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Sub(t.searchedAt) < evictInterval {
+		return false
+	}
+	t.searchedAt = now
 	var largest *Entry
 	for element := t.waiting.Front(); element != nil; element = element.Next() {
 		e := element.Value.(*Entry)
--- a/internal/entry/eviction/table_test.go
+++ b/internal/entry/eviction/table_test.go
@@ -89,15 +89,29 @@
 	require.Equal(t, []string{"c1"}, *cut)
 	entries[1].Hold(-30)
 	entries[1].Remove()
-	require.True(t, table.EvictLargest(at(10), 2*time.Second))
+	later := at(10).Add(100 * time.Millisecond)
+	require.True(t, table.EvictLargest(later, 2*time.Second))
 	require.Equal(t, []string{"c1", "c2"}, *cut)
 	entries[0].Hold(-10)
-	require.False(t, table.EvictLargest(at(10), 2*time.Second), "nobody else holds anything and is stalled")
+	require.False(t, table.EvictLargest(later.Add(100*time.Millisecond), 2*time.Second), "nobody else holds anything and is stalled")
 	require.Equal(t, eviction.Holder{Client: "c3", Bytes: 50}, table.Largest(at(10)))
 	entries[3].SetWaiting(at(10), true)
 	require.Equal(t, 2*time.Second, table.Largest(at(12)).Stalled)
 }
 
+// Guards against many connections that are closed for memory that the first one frees.
+func TestEvictionsForMemoryAreLimited(t *testing.T) {
+	table := eviction.NewTable(10)
+	entries, cut := fill(t, table, 3)
+	for _, e := range entries {
+		e.Hold(1)
+	}
+	for n := range 20 { // in 190 ms
+		table.EvictLargest(at(10).Add(time.Duration(n)*10*time.Millisecond), 2*time.Second)
+	}
+	require.Len(t, *cut, 2)
+}
+
 // A connection that has ended, or was cut, changes nothing any more.
 func TestEndedConnectionsAreForgotten(t *testing.T) {
 	table := eviction.NewTable(1)
