Compare priorities of accounts where permits are scarce

A request left permits to more urgent ones of its service only by the routes' priorities, so that one of an account waited as long as those of an account with a higher priority. All routes were searched for each request; the highest priority of each service is now determined once for each configuration.

--- a/internal/traffic/dispatch/dispatch.go
+++ b/internal/traffic/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/redwingstall/redwingstall"
@@ -136,6 +137,8 @@
 	endChecks      endChecks
 	preferred      preferredSlots
 	accountLabels  accountLabels
+	// priorities are those of the configuration that was last in use.
+	priorities atomic.Pointer[priorities]
 	// backoffs are the servers that want no requests from this instance for a time, and
 	// warmups those that are in warm-up by their own word.
 	backoffs placement.Timers
--- a/internal/traffic/dispatch/server_limit.go
+++ b/internal/traffic/dispatch/server_limit.go
@@ -47,24 +47,44 @@
 	return max(time.Duration(share*float64(left)), 0)
 }
 
-// servesMoreUrgent reports whether the service also serves a route of a higher priority.
+// servesMoreUrgent reports whether the service may also get requests of a higher priority.
 func (d *Dispatcher) servesMoreUrgent(j *job) bool {
 	config := d.View.Snapshot().Config
-	for _, r := range config.Routes {
-		if r.Priority < j.priority && hasPart(r, j.service) {
-			return true
-		}
+	p := d.priorities.Load()
+	if p == nil || p.config != config {
+		p = newPriorities(config)
+		d.priorities.Store(p)
 	}
-	return false
+	highest, found := p.ofService[j.service]
+	return found && highest < j.priority
+}
+
+// priorities are the highest ones that the requests of each service have by a configuration.
+type priorities struct {
+	config    *redwingstall.Configuration
+	ofService map[string]int
 }
 
-func hasPart(r redwingstall.Route, service string) bool {
-	for _, part := range r.Parts {
-		if part.Service == service {
-			return true
+// newPriorities determines the priorities of a configuration. An account may use each route, and
+// its priority takes precedence.
+func newPriorities(config *redwingstall.Configuration) *priorities {
+	p := &priorities{config, map[string]int{}}
+	add := func(service string, priority int) {
+		if highest, found := p.ofService[service]; !found || priority < highest {
+			p.ofService[service] = priority
+		}
+	}
+	for _, r := range config.Routes {
+		for _, part := range r.Parts {
+			add(part.Service, r.Priority)
+			for _, a := range config.Accounts {
+				if a.HasPriority {
+					add(part.Service, a.Priority)
+				}
+			}
 		}
 	}
-	return false
+	return p
 }
 
 // acquirePermit asks for a permit to send the request to a server that has a limit, and
--- a/internal/traffic/dispatch/server_limit_test.go
+++ b/internal/traffic/dispatch/server_limit_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/access/accounts"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
 	"github.com/redwingstall/redwingstall/internal/traffic/serverlimit"
 )
@@ -221,3 +222,83 @@
 		require.LessOrEqual(t, float64(len(w.backends.sent)), 2*time.Since(began).Seconds()+2)
 	})
 }
+
+// longestPermitWait returns how long requests of an account for the keys of a limited server wait
+// at most until they are served.
+func longestPermitWait(t *testing.T, routePriority int, list []redwingstall.ClientAccount, account string) time.Duration {
+	t.Helper()
+	longest := time.Duration(0)
+	synctest.Test(t, func(t *testing.T) {
+		f := newAccountFixture(accounts.Policy{})
+		f.backends.script = func(int, string, backends.Request) (backends.Response, error) {
+			answer := signed(200)
+			answer.Header.Set("Server-Limit", fmt.Sprint(limitRate))
+			return answer, nil
+		}
+		configure := func(version int64, routePriority int, list []redwingstall.ClientAccount) {
+			config := configuration()
+			config.Version, config.Accounts = version, list
+			for i := range config.Routes {
+				config.Routes[i].Priority = routePriority
+			}
+			f.view.Apply(time.Now(), []redwingstall.Event{redwingstall.ConfigurationChanged{Configuration: config}}, false)
+		}
+		// Nothing is more urgent in the first configuration.
+		configure(3, 9, []redwingstall.ClientAccount{{Name: account, Keys: []string{account + "-key"}}})
+		mu, requests := sync.Mutex{}, sync.WaitGroup{}
+		for n := range 1000 {
+			f.view.Confirm(f.clock())
+			if n == 200 {
+				requests.Wait()
+				longest = 0
+				configure(4, routePriority, list)
+			}
+			requests.Go(func() {
+				began := time.Now()
+				answer := f.get(t.Context(), "/keyed/x", "Shard-Key", "5", "Authorization", "Bearer "+account+"-key")
+				mu.Lock()
+				defer mu.Unlock()
+				if answer.Status == http.StatusOK {
+					longest = max(longest, time.Since(began))
+				}
+			})
+			time.Sleep(23 * time.Millisecond)
+		}
+		requests.Wait()
+	})
+	return longest
+}
+
+// Guards against the requests of an account that take the permits which those of an account or a
+// route of a higher priority need. The former may wait half as long.
+func TestPermitWaitFollowsThePriorityOfTheAccount(t *testing.T) {
+	account := func(name string, priority int) redwingstall.ClientAccount {
+		return redwingstall.ClientAccount{Name: name, Keys: []string{name + "-key"}, Priority: priority, HasPriority: true}
+	}
+	plain := redwingstall.ClientAccount{Name: "ash", Keys: []string{"ash-key"}}
+	for name, c := range map[string]struct {
+		routePriority int
+		accounts      []redwingstall.ClientAccount
+		account       string
+		isLong        bool
+	}{
+		"above its route":                {2, []redwingstall.ClientAccount{account("oak", 0)}, "oak", true},
+		"below its route":                {0, []redwingstall.ClientAccount{account("elm", 3)}, "elm", false},
+		"like its route":                 {3, []redwingstall.ClientAccount{account("elm", 3)}, "elm", true},
+		"below another account":          {2, []redwingstall.ClientAccount{account("oak", 0), plain}, "ash", false},
+		"between route and account":      {2, []redwingstall.ClientAccount{account("oak", 0), account("elm", 1)}, "elm", false},
+		"without others with a priority": {2, []redwingstall.ClientAccount{plain}, "ash", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			wait := longestPermitWait(t, c.routePriority, c.accounts, c.account)
+			t.Log(wait)
+			// Half of the objective of 600 ms less the time to run, or a quarter.
+			if c.isLong {
+				require.Greater(t, wait, 150*time.Millisecond)
+			} else {
+				require.Less(t, wait, 150*time.Millisecond)
+				require.Greater(t, wait, 20*time.Millisecond)
+			}
+		})
+	}
+}
