Test that demand counts once

TestRequestOfTwoAttemptsIsOneDemand fails if a request that one server sheds counts again at the second one. TestOwnDemandIsSubtractedFromTotals fails if the demand at the instance stays in the sums of all instances, is not kept when it is reported, or makes sums that are older than it negative.

--- a/internal/routing/placement/placement_test.go
+++ b/internal/routing/placement/placement_test.go
@@ -158,3 +158,33 @@
 	answer(1300, Outcome{Kind: Failed})
 	require.NotEqual(t, EjectionEndless, e.Estimate(atMillis(1350), "r", candidate).Reason)
 }
+
+// totals is a table with sums of all instances.
+type totals map[string]Report
+
+func (t totals) Find(server string) (Report, bool) {
+	r, found := t[server]
+	return r, found
+}
+
+// Guards against the demand at this instance that counts twice, since the sums of all instances
+// include what it last reported.
+func TestOwnDemandIsSubtractedFromTotals(t *testing.T) {
+	const others = 3.0
+	e := &Estimator{}
+	e.CountDemand(atMillis(0), "s1", 2*time.Second)
+	own := e.Estimate(atMillis(0), "r", candidate).Demand
+	require.Greater(t, own, 1.0)
+	reports := e.Reports(atMillis(0))
+	require.Len(t, reports, 1)
+	require.InDelta(t, own, reports[0].Demand, 1e-9)
+	e.MergeTotalReports(atMillis(1), totals{"s1": {Server: "s1", LatencyFactor: 1, Demand: own + others}})
+	require.InDelta(t, own+others, e.Estimate(atMillis(1), "r", candidate).Demand, 0.01)
+	// What it counted since then is not in the sums.
+	e.CountDemand(atMillis(2), "s1", 2*time.Second)
+	e.MergeTotalReports(atMillis(3), totals{"s1": {Server: "s1", LatencyFactor: 1, Demand: own + others}})
+	require.InDelta(t, 2*own+others, e.Estimate(atMillis(3), "r", candidate).Demand, 0.02)
+	// The sums may be older than its first report.
+	e.MergeTotalReports(atMillis(4), totals{"s1": {Server: "s1", LatencyFactor: 1}})
+	require.InDelta(t, 2*own, e.Estimate(atMillis(4), "r", candidate).Demand, 0.02)
+}
--- a/internal/traffic/dispatch/admission_test.go
+++ b/internal/traffic/dispatch/admission_test.go
@@ -85,3 +85,31 @@
 		require.Less(t, ok["elm"], 50, "priority 3")
 	})
 }
+
+// Guards against a request that counts as demand at each server that it is sent to: the servers
+// would seem to be wanted twice as much whenever they shed requests.
+func TestRequestOfTwoAttemptsIsOneDemand(t *testing.T) {
+	demandAfter := func(sheds int) (demand float64) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newFixture(func(n int, _ string, _ backends.Request) (backends.Response, error) {
+				if n <= sheds {
+					return shed, nil
+				}
+				return signed(200), nil
+			})
+			w.dispatcher.Features = func() features.Set { return features.Set{Admission: true} }
+			require.Equal(t, 200, w.get(t.Context(), "/safe/x").Status)
+			require.Len(t, w.backends.sent, sheds+1)
+			if sheds > 0 {
+				require.NotEqual(t, w.backends.sent[0], w.backends.sent[1])
+			}
+			for _, r := range w.dispatcher.Estimator.Reports(time.Now()) {
+				demand += r.Demand
+			}
+		})
+		return demand
+	}
+	one := demandAfter(0)
+	require.Positive(t, one)
+	require.InDelta(t, one, demandAfter(1), 0.01*one)
+}
