Resolve the features once for each configuration

Each request went over all routes of the configuration to see which features are in use. The result is kept with the configuration that it belongs to.

TestFeaturesFollowTheConfiguration fails if they are resolved for each call, as before, and if the result of another configuration is kept.

--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -69,21 +69,24 @@
 
 // Gateway is one instance.
 type Gateway struct {
-	node           settings.Node
-	log            *slog.Logger
-	metrics        *metrics.Registry
-	view           *view.View
-	estimator      *placement.Estimator
-	limiter        *serverlimit.Limiter
-	pool           *backends.Pool
-	follower       *follow.Follower
-	presence       *presence.Lease
-	leader         *leader.Leader
-	exchange       *peers.Exchange
-	quarantine     *quarantine.Table
-	quotas         *quota.Limiter
-	callers        *callers.Server
-	adminServers   []*http.Server
+	node         settings.Node
+	log          *slog.Logger
+	metrics      *metrics.Registry
+	view         *view.View
+	estimator    *placement.Estimator
+	limiter      *serverlimit.Limiter
+	pool         *backends.Pool
+	follower     *follow.Follower
+	presence     *presence.Lease
+	leader       *leader.Leader
+	exchange     *peers.Exchange
+	quarantine   *quarantine.Table
+	quotas       *quota.Limiter
+	callers      *callers.Server
+	adminServers []*http.Server
+	// resolved are the features by the configuration that was last in use: each request asks
+	// for them, and to resolve them takes all routes.
+	resolved       atomic.Pointer[resolvedFeatures]
 	background     sync.WaitGroup
 	isShuttingDown atomic.Bool
 	// stopAt is when a shutdown cancels the remaining requests.
@@ -173,7 +176,19 @@
 
 // features returns the optional features that the current configuration calls for.
 func (g *Gateway) features() features.Set {
-	return features.Resolve(g.node.Features, g.view.Snapshot().Config)
+	config := g.view.Snapshot().Config
+	r := g.resolved.Load()
+	if r == nil || r.config != config {
+		r = &resolvedFeatures{config, features.Resolve(g.node.Features, config)}
+		g.resolved.Store(r)
+	}
+	return r.set
+}
+
+// resolvedFeatures are the features that a configuration calls for.
+type resolvedFeatures struct {
+	config *redwingstall.Configuration
+	set    features.Set
 }
 
 // instances returns the instances that may coordinate the limits of servers: those that stay,
--- a/internal/node/gateway/gateway_test.go
+++ b/internal/node/gateway/gateway_test.go
@@ -105,3 +105,28 @@
 		}
 	})
 }
+
+// Guards against features that are resolved from all routes for each request, and against those of
+// a configuration that is no longer in force.
+func TestFeaturesFollowTheConfiguration(t *testing.T) {
+	g := &Gateway{view: view.NewView(slog.New(slog.DiscardHandler), 0)}
+	require.Equal(t, features.Set{}, g.features(), "without a configuration")
+	configure := func(version int64, timeout time.Duration) {
+		config := redwingstall.Configuration{Version: version}
+		config.Routes = []redwingstall.Route{{Kind: redwingstall.KindSafe, Target: time.Second, Timeout: timeout}}
+		g.view.Apply(time.Now(), []redwingstall.Event{redwingstall.ConfigurationChanged{Configuration: config}}, false)
+	}
+	configure(1, 2*time.Second)
+	require.Equal(t, features.Set{}, g.features())
+	first := g.resolved.Load()
+	require.Equal(t, features.Set{}, g.features())
+	require.Same(t, first, g.resolved.Load(), "resolved again")
+	configure(2, 3*time.Second)
+	require.Equal(t, features.Set{KeyRecovery: true, EvenLoad: true}, g.features())
+	g.view.Apply(time.Now(), []redwingstall.Event{redwingstall.EvacuationChanged{FailureDomain: "x", IsActive: true}}, false)
+	second := g.resolved.Load()
+	require.Equal(t, features.Set{KeyRecovery: true, EvenLoad: true}, g.features())
+	require.Same(t, second, g.resolved.Load(), "the same configuration")
+	configure(3, 2*time.Second)
+	require.Equal(t, features.Set{}, g.features())
+}
