--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -20,8 +20,8 @@
 	command []string
 	folder  string
 	store   *proxy
-	// usesAdmission is set for the seeds that play with admission by value.
-	usesAdmission bool
+	// usesFeatures is set for the seeds that play with the optional features.
+	usesFeatures bool
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -56,8 +56,8 @@
 	}
 	settings := filepath.Join(i.folder, i.name+".conf")
 	text := platformtest.Settings(i.name, i.ip, i.domain, i.frontAddress(), i.readyAddress(), peerPort, i.store.address())
-	if i.usesAdmission {
-		text += platformtest.AdmissionSettings
+	if i.usesFeatures {
+		text += platformtest.FeatureSettings
 	}
 	text += revocationSettings
 	if i.starts == 0 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -94,9 +94,9 @@
 	stop  chan struct{}
 }
 
-// admissionSeeds is the interval of the seeds whose instances admit requests by value. The
+// featureSeeds is the interval of the seeds whose instances use the optional features. The
 // regression seeds are others.
-const admissionSeeds = 5
+const featureSeeds = 5
 
 // Run runs one seed and returns the violations.
 func Run(config Config) ([]string, error) {
@@ -175,7 +175,7 @@
 		}
 		i := &instance{
 			name: fmt.Sprintf("entry-%d", n), ip: fmt.Sprintf("127.%d.0.%d", s.config.Network, n+1), domain: domains[n%len(domains)],
-			command: s.config.Command, folder: s.config.Folder, store: p, usesAdmission: s.config.Seed%admissionSeeds == 1,
+			command: s.config.Command, folder: s.config.Folder, store: p, usesFeatures: s.config.Seed%featureSeeds == 1,
 			reportEnd: func() { s.ledger.RecordViolation("entry-%d has ended by itself", n) },
 		}
 		if err := i.start(); err != nil {
