--- a/internal/traffic/dispatch/admission_test.go
+++ b/internal/traffic/dispatch/admission_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -8,10 +9,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/redwingstall/redwingstall"
 	"github.com/redwingstall/redwingstall/internal/access/accounts"
 	"github.com/redwingstall/redwingstall/internal/entry/backends"
+	"github.com/redwingstall/redwingstall/internal/fleet/view"
 	"github.com/redwingstall/redwingstall/internal/node/features"
 	"github.com/redwingstall/redwingstall/internal/routing/placement"
+	"github.com/redwingstall/redwingstall/internal/traffic/budget"
 )
 
 // Guards against requests to a server that other instances are about to fill, which its queue
@@ -113,3 +117,44 @@
 	require.Positive(t, one)
 	require.InDelta(t, one, demandAfter(1), 0.01*one)
 }
+
+// Guards against a request that this instance counts at each server that it is sent to. Without
+// recent reports, each of 1,000 instances takes its requests for a thousandth of the demand: one that
+// only went to a server since another one shed it must not keep the next one away.
+func TestRequestOfTwoAttemptsIsCountedAtItsFirstServer(t *testing.T) {
+	const instances = 1000
+	for n := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newFixture(func(n int, _ string, _ backends.Request) (backends.Response, error) {
+				if n == 1 {
+					return shed, nil
+				}
+				return signed(200), nil
+			})
+			w.dispatcher.Features = func() features.Set { return features.Set{Admission: true} }
+			w.dispatcher.Budget = budget.NewBudget(0.2, 56*instances, 10*time.Second)
+			w.dispatcher.Random = rand.New(rand.NewPCG(uint64(n), 1)).Float64
+			peers := []redwingstall.Event{}
+			for i := range instances {
+				record, err := view.PeerRecord(view.Peer{Name: "p" + strconv.Itoa(i)})
+				require.NoError(t, err)
+				peers = append(peers, redwingstall.RecordChanged{Change: redwingstall.Change{Item: record}})
+			}
+			w.view.Apply(time.Now(), peers, false)
+			reports := []placement.Report{}
+			for _, id := range []string{"s1", "s2", "s3"} {
+				reports = append(reports, placement.Report{Server: id, InFlight: 6, LatencyFactor: 1})
+			}
+			w.dispatcher.Estimator.MergeReports(time.Now(), "p0", reports)
+			time.Sleep(time.Second)
+			require.Equal(t, 200, w.get(t.Context(), "/safe/x").Status)
+			require.Len(t, w.backends.sent, 2)
+			events := []redwingstall.Event{}
+			for _, id := range []string{"s1", "s2", "s3"} {
+				events = append(events, redwingstall.EntryChanged{Entry: redwingstall.BackendEntry{ID: id, Service: "s", Slots: 4, StartedAtMillis: 1, Draining: id != w.backends.sent[1]}})
+			}
+			w.view.Apply(time.Now(), events, false)
+			require.Equal(t, 200, w.get(t.Context(), "/safe/x").Status)
+		})
+	}
+}
