Keep a body's read deadline from the later requests of its connection

The relay set the read deadline again after the response. If the body had ended, that read was the server's wait for the caller's disconnect, whose time-out cancelled the context of the connection. A body that has ended now gets no deadline, and another one second after the response.

Before the change, TestDeadlineOfABodyLeavesTheConnection failed with "unexpected EOF". Now it passes (go test ./pkg/caller).

--- a/pkg/caller/earlyresponse_test.go
+++ b/pkg/caller/earlyresponse_test.go
@@ -59,3 +59,40 @@
 		})
 	}
 }
+
+// Guards against a read deadline that outlives its body: it would cancel the context of the connection
+// and so its later requests.
+func TestDeadlineOfABodyLeavesTheConnection(t *testing.T) {
+	const timeout, wait = 200 * time.Millisecond, 300 * time.Millisecond
+	s := settings.Default()
+	r := &Router{common: &common.Common{Settings: s}, buffers: buffers{requests: memory.NewBudget(s.Limits.MaxBufferedBytes)}}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, incoming *http.Request) {
+		if incoming.Method == http.MethodPost {
+			q := &request{service: templates.Service{Kind: templates.KindKeyed}, deadline: time.Now().Add(timeout)}
+			_ = r.readBody(w, incoming, q)
+			_, _ = io.Copy(io.Discard, q.body())
+			time.Sleep(wait)
+			r.relayResponse(context.Background(), w, q, &http.Response{
+				StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: 2,
+				Body: io.NopCloser(strings.NewReader("ok")), Request: incoming,
+			})
+			time.Sleep(wait) // a time-out that is due cancels the context meanwhile
+		}
+		if incoming.Context().Err() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		sent, err := http.NewRequestWithContext(t.Context(), method, server.URL, strings.NewReader(strings.Repeat("x", 300<<10)))
+		require.NoError(t, err)
+		if method == http.MethodGet {
+			sent.Body, sent.ContentLength = http.NoBody, 0
+		}
+		response, err := server.Client().Do(sent)
+		require.NoError(t, err, method)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err, method)
+		require.NoError(t, response.Body.Close())
+	}
+}
--- a/pkg/caller/relay.go
+++ b/pkg/caller/relay.go
@@ -18,16 +18,21 @@
 // copyBufferBytes is the size of the buffer that copies a response body.
 const copyBufferBytes = 32 << 10
 
+// bodyRestTime bounds how long the server reads the rest of a request's body after the response. From
+// the end of the body it waits for the caller's disconnect instead, until the handler returns. A time-out
+// before that would cancel the later requests of the connection.
+const bodyRestTime = time.Second
+
 // relayResponse writes a response to the caller. If the server's connection is lost,
 // it resumes the download from another server where possible. Otherwise it aborts the
 // caller's connection, so that the caller can tell that the body is incomplete.
 func (r *Router) relayResponse(ctx context.Context, w http.ResponseWriter, q *request, response *http.Response) {
 	markResponseStarted(ctx)
 	writeHeader(w, response)
-	if q.streamedBody != nil {
+	if q.streamedBody != nil && !q.streamedBody.hasEnded.Load() {
 		endRequestBody(w)
 		// Bounds what the server reads of the rest after the response.
-		defer func() { _ = http.NewResponseController(w).SetReadDeadline(q.deadline) }()
+		defer func() { _ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyRestTime)) }()
 	}
 	progress := newProgress(response)
 	for {
--- a/pkg/caller/request.go
+++ b/pkg/caller/request.go
@@ -14,6 +14,7 @@
 	"os"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -256,11 +257,16 @@
 	source      io.Reader
 	remaining   int64
 	hasBeenRead bool
+	// hasEnded is set at the end of the body.
+	hasEnded atomic.Bool
 }
 
 func (b *singleUseBody) Read(p []byte) (int, error) {
 	b.hasBeenRead = true
 	n, err := b.source.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.hasEnded.Store(true)
+	}
 	b.remaining -= int64(n)
 	if b.remaining < 0 {
 		return 0, errBodyTooLarge
