--- a/internal/node/features/features.go
+++ b/internal/node/features/features.go
@@ -50,14 +50,14 @@
 	EvenLoad bool
 }
 
-// patientTimeout is the timeout of a route, in multiples of its latency objective, from
+// minTimeoutRatio is the timeout of a route, in multiples of its latency objective, from
 // which callers wait for late responses. Only then does it matter which of them wait.
-const patientTimeout = 3
+const minTimeoutRatio = 3
 
 // Resolve returns the features that the settings and the configuration call for. The
 // configuration may be nil.
 func Resolve(modes Modes, configuration *redwingstall.Configuration) Set {
-	isCalledFor := modes.IsUnderPressure || hasPatientCallers(configuration)
+	isCalledFor := modes.IsUnderPressure || hasLongTimeouts(configuration)
 	return Set{
 		KeyRecovery: modes.KeyRecovery.resolve(isCalledFor),
 		// Played on the contended deployments, callers got less with it than without it.
@@ -70,12 +70,12 @@
 	return m == On || m != Off && isCalledFor
 }
 
-func hasPatientCallers(c *redwingstall.Configuration) bool {
+func hasLongTimeouts(c *redwingstall.Configuration) bool {
 	if c == nil {
 		return false
 	}
 	for _, r := range c.Routes {
-		if r.Target > 0 && r.Timeout >= patientTimeout*r.Target {
+		if r.Target > 0 && r.Timeout >= minTimeoutRatio*r.Target {
 			return true
 		}
 	}
--- a/internal/ownership/assign/assign.go
+++ b/internal/ownership/assign/assign.go
@@ -85,8 +85,8 @@
 	Servers map[string]Server
 	// KeyRates are indexed by key, in requests per second.
 	KeyRates []float32
-	// EvensLoad is set if keys are rebalanced for load that changes within seconds.
-	EvensLoad bool
+	// EvenLoad is set if keys are rebalanced for load that changes within seconds.
+	EvenLoad bool
 	// IsStoreUnavailable is set while the leader's lease cannot be renewed.
 	IsStoreUnavailable bool
 }
--- a/internal/ownership/assign/rebalance.go
+++ b/internal/ownership/assign/rebalance.go
@@ -18,8 +18,7 @@
 	shortRebalanceInterval = 300 * time.Millisecond
 	// targetMargin is how far above the mean utilization a move may load its target, and
 	// minTargetUtilization how far in any case. Keys with several times the capacity of a
-	// server go to several targets at once in this way. Otherwise the first target is
-	// overloaded in turn, and each halving of the load takes another move, of a second.
+	// server then go to several targets at once, and no target is overloaded in turn.
 	targetMargin         = 1.2
 	minTargetUtilization = 0.6
 	// minMoveLimit and serversPerMove limit concurrent moves: one for every
@@ -167,7 +166,7 @@
 // rebalance moves keys from the most utilized servers to the least utilized ones.
 func (a *Assigner) rebalance(now time.Duration, draft *shardmap.Map, cluster ClusterState) bool {
 	interval := rebalanceInterval
-	if cluster.EvensLoad {
+	if cluster.EvenLoad {
 		interval = shortRebalanceInterval
 	}
 	if now-a.rebalancedAt < interval {
@@ -181,12 +180,12 @@
 		}
 	}
 	c := newTargetChooser(*draft, cluster)
-	if cluster.EvensLoad {
+	if cluster.EvenLoad {
 		c.addMoves(*draft, a.moveTargets)
 	}
 	changed := false
 	maxMoves := moveLimit(len(c.candidates))
-	if cluster.EvensLoad {
+	if cluster.EvenLoad {
 		maxMoves = smallMoveLimit(len(c.candidates))
 	}
 	for ; moving < maxMoves; moving++ {
@@ -247,7 +246,7 @@
 	from, to := c.utilization(source.ID, 0), c.utilization(target.ID, 0)
 	capacityFrom, capacityTo := c.cluster.Servers[source.ID].Capacity, c.cluster.Servers[target.ID].Capacity
 	wanted := (from - to) / (1/capacityFrom + 1/capacityTo)
-	if c.cluster.EvensLoad {
+	if c.cluster.EvenLoad {
 		level := max(targetMargin*c.meanUtilization(), minTargetUtilization)
 		wanted = min(wanted, max(level-to, 0)*capacityTo)
 	}
--- a/internal/ownership/assign/rebalance_test.go
+++ b/internal/ownership/assign/rebalance_test.go
@@ -309,9 +309,9 @@
 // after the other: 300 requests per second on 200 adjacent keys need about thirty servers of
 // 16 per second. They must be spread within two seconds, though maps are written each 400 ms.
 func TestHotKeysGoToSeveralServersAtOnce(t *testing.T) {
-	spreadAfter := func(evensLoad bool) time.Duration {
+	spreadAfter := func(evenLoad bool) time.Duration {
 		cluster := newClusterState(60, nil)
-		cluster.EvensLoad = evensLoad
+		cluster.EvenLoad = evenLoad
 		a := NewAssigner(0, simulationTiming, shardmap.Map{})
 		runFor(a, 0, 3*time.Second, cluster)
 		rates := hotRates()
@@ -339,18 +339,18 @@
 // Guards against the short interval between rounds where load is not evened, and against the usual
 // one where it is.
 func TestRebalanceIntervalFollowsEvenLoad(t *testing.T) {
-	for _, evensLoad := range []bool{false, true} {
+	for _, evenLoad := range []bool{false, true} {
 		cluster := newClusterState(13, nil)
 		a := NewAssigner(0, simulationTiming, shardmap.Map{})
 		runFor(a, 0, 3*time.Second, cluster)
-		cluster.KeyRates, cluster.EvensLoad = hotRates(), evensLoad
+		cluster.KeyRates, cluster.EvenLoad = hotRates(), evenLoad
 		rebalances := func(now time.Duration) bool {
 			draft := a.Map().Clone() // without the moves of the round before
 			return a.rebalance(now, &draft, cluster)
 		}
 		require.True(t, rebalances(4*time.Second))
 		require.False(t, rebalances(4200*time.Millisecond))
-		require.Equal(t, evensLoad, rebalances(4300*time.Millisecond))
+		require.Equal(t, evenLoad, rebalances(4300*time.Millisecond))
 		require.True(t, rebalances(4900*time.Millisecond))
 	}
 }
--- a/internal/ownership/keyload/keyload.go
+++ b/internal/ownership/keyload/keyload.go
@@ -87,8 +87,7 @@
 	// blockSize is the number of adjacent keys whose load is compared over the two half-lives.
 	blockSize = 64
 	// significance is by how many standard deviations the recent requests of a block must
-	// differ from those expected by its rate. Of 1024 blocks one differs by chance each
-	// hundred times.
+	// differ from those expected by its rate. By chance, one of 16,000 blocks does.
 	significance = 4
 )
 
--- a/internal/ownership/leader/leader.go
+++ b/internal/ownership/leader/leader.go
@@ -459,7 +459,7 @@
 	if clock := l.Clock(); state.keyRates == nil || clock-state.keyRatesAt >= keyRatesInterval {
 		state.keyRates, state.keyRatesAt = l.Load.KeyRates(name), clock
 	}
-	cluster := assign.ClusterState{Servers: map[string]assign.Server{}, KeyRates: state.keyRates, EvensLoad: l.features().EvenLoad}
+	cluster := assign.ClusterState{Servers: map[string]assign.Server{}, KeyRates: state.keyRates, EvenLoad: l.features().EvenLoad}
 	now := time.Now()
 	for _, server := range s.Servers[name] {
 		state.addresses[server.ID] = server.Address
