--- a/internal/node/gateway/gateway.go
+++ b/internal/node/gateway/gateway.go
@@ -57,8 +57,8 @@
 	// garbage collector has not freed yet need the other half.
 	requestShare  = 4
 	responseShare = 4
-	// connectionMemory is what an open connection of a client takes, in bytes (25 KB were measured
-	// with garbage).
+	// connectionMemory is what an open connection of a client takes, in bytes, without what the
+	// garbage collector has not freed yet.
 	connectionMemory = 16 << 10
 	// softLimitShare is the part of the memory above which the garbage collector runs more often.
 	softLimitShare = 0.8
--- a/internal/ownership/assign/release_test.go
+++ b/internal/ownership/assign/release_test.go
@@ -51,7 +51,7 @@
 }
 
 // Guards against keys without an owner for as long as leaders change: each one waited again
-// for grants that none has sent since the release was stored (39 s on the third day of Ancoar).
+// for grants that none has sent since the release was stored.
 func TestChangesOfLeaderDoNotRestartTheWaitForAStoredRelease(t *testing.T) {
 	b := newReleaseBed()
 	b.end()
