--- a/internal/fleet/peers/quotas_test.go
+++ b/internal/fleet/peers/quotas_test.go
@@ -79,6 +79,13 @@
 	withLoad bool
 }
 
+// setLoss sets the share of datagrams that are lost.
+func (f *quotaFleet) setLoss(share float64) {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	f.loss = share
+}
+
 func runQuotaFleet(t *testing.T, seed uint64, instances, domains int, usual []float64, test func(f *quotaFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -383,13 +390,13 @@
 			f.run(8 * time.Second)
 		}},
 		{"someLosses", oneInThousand, func(f *quotaFleet) {
-			f.loss = 0.03
+			f.setLoss(0.03)
 			f.run(6 * time.Second)
 			f.heat(hotFactor)
 			f.run(8 * time.Second)
 		}},
 		{"manyLosses", 0.01, func(f *quotaFleet) {
-			f.loss = 0.1
+			f.setLoss(0.1)
 			f.heat(hotFactor)
 			f.run(12 * time.Second)
 		}},
