Confirm nothing by a page of many changes

An instance that reads long entries of another writer gets them page by page, and counted each page as all there was. Found by reading; the unit test fails without the bound.

--- a/internal/fleet/follow/confirmation.go
+++ b/internal/fleet/follow/confirmation.go
@@ -22,6 +22,23 @@
 	fallbackStaleAfter = time.Second
 )
 
+// maxWholeBytes is the size of the values in a response up to which it counts as whole. A store
+// may answer with the first page of many changes, which confirms nothing: an instance that
+// reads long entries of another writer, page after page, took an API key that it had not read
+// yet for one that nobody holds.
+const maxWholeBytes = 256 << 10
+
+// confirm records what a response to a call shows that was sent at a time.
+func (f *Follower) confirm(sentAt time.Duration, changes []redwingstall.Change) {
+	size := 0
+	for _, change := range changes {
+		size += len(change.Value)
+	}
+	if size <= maxWholeBytes {
+		f.view.Confirm(sentAt)
+	}
+}
+
 // pollTimeout returns how long a poll that is sent now may wait for changes.
 func (f *Follower) pollTimeout(broadcasts bool, now time.Duration) time.Duration {
 	hasAccounts, age := f.hasAccounts(), now-f.view.ConfirmedAt()
--- a/internal/fleet/follow/confirmation_test.go
+++ b/internal/fleet/follow/confirmation_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"sort"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/fleet/view"
 )
 
 // firstAccountVersion is the first version of the test's configurations with client accounts.
@@ -193,3 +195,15 @@
 		}
 	})
 }
+
+// Guards against knowledge that counts as new after the first page of many changes: the
+// instance does not know yet what the next pages say.
+func TestPageOfManyChangesConfirmsNothing(t *testing.T) {
+	f := &Follower{view: view.NewView(slog.New(slog.DiscardHandler), 0)}
+	f.confirm(time.Second, []redwingstall.Change{{Item: redwingstall.Item{Value: make([]byte, maxWholeBytes/2)}}})
+	require.Equal(t, time.Second, f.view.ConfirmedAt())
+	f.confirm(2*time.Second, []redwingstall.Change{{Item: redwingstall.Item{Value: make([]byte, maxWholeBytes)}}, {Item: redwingstall.Item{Value: []byte("x")}}})
+	require.Equal(t, time.Second, f.view.ConfirmedAt())
+	f.confirm(3*time.Second, nil)
+	require.Equal(t, 3*time.Second, f.view.ConfirmedAt())
+}
--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -285,7 +285,7 @@
 	f.recordConfirmation()
 	isUrgent := f.apply(changes, at.Revision)
 	f.view.MarkCurrent(time.Now())
-	f.view.Confirm(sentAt)
+	f.confirm(sentAt, changes)
 	if len(changes) > 0 {
 		if broadcasts {
 			f.relay.Broadcast(Update{
@@ -439,7 +439,7 @@
 	f.recordConfirmation()
 	f.apply(changes, at.Revision)
 	f.view.MarkCurrent(time.Now())
-	f.view.Confirm(sentAt)
+	f.confirm(sentAt, changes)
 	return nil
 }
 
