--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -10,4 +10,8 @@
   grep -v '^#' KNOWN-RED.txt | sed 's/^/  /'
   skip=(-skip "^(${known})$")
 fi
-go test -race -count=1 -timeout 20m "${skip[@]}" ./...
+# These fill a process with hundreds of clients, and need the machine for themselves.
+apart=(./test/memory ./test/slowclients)
+mapfile -t beside < <(go list ./... | grep -vE '/test/(memory|slowclients)$')
+go test -race -count=1 -timeout 20m "${skip[@]}" "${beside[@]}"
+go test -race -count=1 -timeout 20m -p 1 "${skip[@]}" "${apart[@]}"
