Take a reset during a request for the loss of its response

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The client got that part as the complete response.

Cause: the kernel reports a reset to one system call only. If that is the write of the upload (ECONNRESET), the next read returns the end of the stream, and a response without a length ends there. Which of the two calls gets the error is a race; the outcome of the write was used only to decide about reuse. net/http has the same race, so that calls of the store, the live list, operators' commands and requests forwarded between instances took the part for the response, too.

Change: http1.Conn keeps the error of a write, and returns it to the reader in place of the end of the stream. At that end it waits for a write in progress, which may have met the error and not returned it yet, and ends it, since no response can follow. backends.Pool and all clients on http1.Transport use it. The order of the two calls no longer matters, so neither a longer wait nor another attempt is needed. EPIPE is no loss: it is what a write gets if the server had ended the stream before the reset, so that the response is complete.

Such an attempt has no response and may have run. Nothing in the head counts (Not-Executed, limits, load, leaving, Retry-After): it belongs to a response that never ended, as with a known length that is not reached.

pkg/backend refuses responses without a length or chunks, as before.

--- a/internal/entry/backends/backends.go
+++ b/internal/entry/backends/backends.go
@@ -178,7 +178,7 @@
 }
 
 type connection struct {
-	net.Conn
+	*http1.Conn
 	reader *bufio.Reader
 	// limit bounds the bytes of the response that is read.
 	limit   *limitedReader
@@ -390,8 +390,9 @@
 		return nil, &Error{IsRefused: errors.Is(err, syscall.ECONNREFUSED), Reason: "connect", Cause: err}
 	}
 	p.count("connections.opened")
-	limited := &limitedReader{source: raw}
-	return &connection{Conn: raw, limit: limited, reader: bufio.NewReader(limited), key: key, trace: Trace{Connection: p.opened.Add(1)}}, nil
+	c := http1.NewConn(raw)
+	limited := &limitedReader{source: c}
+	return &connection{Conn: c, limit: limited, reader: bufio.NewReader(limited), key: key, trace: Trace{Connection: p.opened.Add(1)}}, nil
 }
 
 // isReusable reports whether an idle connection is open and has no unread bytes,
@@ -400,7 +401,7 @@
 	if now.Sub(c.idleSince) >= c.idleFor || c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/entry/backends/write.go
+++ b/internal/entry/backends/write.go
@@ -32,9 +32,7 @@
 func writeRequest(c *connection, request Request) error {
 	head := encodeHead(request)
 	if request.BodyRest == nil {
-		buffers := net.Buffers{head, request.Body}
-		_, err := buffers.WriteTo(c.Conn)
-		return err
+		return c.WriteBuffers(net.Buffers{head, request.Body})
 	}
 	if _, err := c.Write(head); err != nil {
 		return err
--- a/internal/wire/http1/invalid.go
+++ b/internal/wire/http1/invalid.go
@@ -1,6 +1,8 @@
 package http1
 
 import (
+	"context"
+	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -31,11 +33,30 @@
 
 // Transport is an http.Transport that returns an error for an invalid response. net/http hands the
 // connection of a 101 to the caller, whose context no longer ends a read from it.
-type Transport struct{ *http.Transport }
+type Transport struct{ transport *http.Transport }
+
+// NewTransport returns a Transport that sends by another one, whose connections it makes [Conn]s.
+func NewTransport(t *http.Transport) Transport {
+	dial := t.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(c), nil
+	}
+	return Transport{t}
+}
+
+// CloseIdleConnections closes the idle connections.
+func (t Transport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
 
 // RoundTrip sends a request.
 func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.Transport.RoundTrip(request)
+	response, err := t.transport.RoundTrip(request)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/app/where.go
+++ b/pkg/app/where.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Newf("%q is not the address of an instance", instance), errUsage)
 	}
-	client := &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.Transport{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: http1.MaxHeadBytes}}}
+	client := &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.NewTransport(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: http1.MaxHeadBytes})}
 	answer, err := client.Do(request)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "instance %s cannot be reached", instance), redwingstall.ErrUnavailable)
--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -48,8 +48,8 @@
 	singleUse := newTransport(limit, true)
 	return &Client{
 		baseURL:            "http://" + address,
-		orderClient:        &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.Transport{Transport: newTransport(1, false)}},
-		releaseClient:      &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.Transport{Transport: newTransport(1, true)}},
+		orderClient:        &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.NewTransport(newTransport(1, false))},
+		releaseClient:      &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.NewTransport(newTransport(1, true))},
 		keepAlive:          newKeepAlive(limit, singleUse),
 		singleUseTransport: singleUse,
 	}
--- a/pkg/livelist/client.go
+++ b/pkg/livelist/client.go
@@ -26,7 +26,7 @@
 
 // NewClient returns a client of the list at an address. The timeout bounds each call.
 func NewClient(address string, timeout time.Duration) *Client {
-	return &Client{baseURL: "http://" + address + "/v1/instances/", http: &http.Client{CheckRedirect: http1.NoRedirects, Timeout: timeout, Transport: http1.Transport{Transport: &http.Transport{MaxResponseHeaderBytes: http1.MaxHeadBytes}}}}
+	return &Client{baseURL: "http://" + address + "/v1/instances/", http: &http.Client{CheckRedirect: http1.NoRedirects, Timeout: timeout, Transport: http1.NewTransport(&http.Transport{MaxResponseHeaderBytes: http1.MaxHeadBytes})}}
 }
 
 var _ redwingstall.LiveList = (*Client)(nil)
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -39,7 +39,7 @@
 	return &Client{
 		baseURL: scheme + "://" + address,
 		token:   token,
-		http:    &http.Client{CheckRedirect: http1.NoRedirects, Timeout: clientTimeout, Transport: http1.Transport{Transport: &http.Transport{TLSClientConfig: config, MaxResponseHeaderBytes: http1.MaxHeadBytes}}},
+		http:    &http.Client{CheckRedirect: http1.NoRedirects, Timeout: clientTimeout, Transport: http1.NewTransport(&http.Transport{TLSClientConfig: config, MaxResponseHeaderBytes: http1.MaxHeadBytes})},
 	}
 }
 
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -115,8 +115,8 @@
 	}
 	return &Clients{
 		scheme:  scheme,
-		control: &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.Transport{Transport: newControlTransport(config)}},
-		forward: &http.Client{Transport: http1.Transport{Transport: newTransport(config)}, CheckRedirect: http1.NoRedirects},
+		control: &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.NewTransport(newControlTransport(config))},
+		forward: &http.Client{Transport: http1.NewTransport(newTransport(config)), CheckRedirect: http1.NoRedirects},
 		clients: map[string]*Client{},
 	}
 }
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -112,7 +112,7 @@
 	return &Client{
 		baseURL: "http://" + address + "/v1/",
 		timeout: timeout,
-		http:    &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.Transport{Transport: transport}},
+		http:    &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.NewTransport(transport)},
 		metrics: registry,
 	}
 }
