Reject responses with a blank in the name of a field

Callers saw: a server in trouble sent a response in whose head the name of a field held a blank. The client got that line passed on (`Bad Name: x`), or a body that was not the server's: four bytes where `Content-Length : 2` announced two, chunk sizes as content behind `Transfer-Encoding : chunked`.

Cause: the reader of net/http keeps such a name as it is, so that a field that bounds the body or says what became of the request (`Not-Executed : 1`) is none to this product, and one to a recipient that ignores the blank. Names with a control byte, DEL, a byte above it or no byte at all are errors in net/http already.

Change: http1.CheckFields rejects a blank in a name, in heads, informational responses and trailers. http1.CheckResponse includes it, so that one rule holds for both paths and all clients; pkg/backend sends requests by http1.Transport, too. RFC 9112, section 5.1, lets a proxy remove a blank before the colon; the rest of what such a server sends cannot be trusted more than its names. Checking informational responses lifts net/http's bound of their sum, so Transport has its own. Values on several lines (obs-fold) are joined as before.

Shapes with control bytes passed before and stay as tests.

--- a/internal/entry/backends/exchange.go
+++ b/internal/entry/backends/exchange.go
@@ -95,6 +95,11 @@
 		head.Release()
 		return Response{}, false, err
 	}
+	if err := http1.CheckFields(answer.Trailer); err != nil {
+		head.Release()
+		held.Release()
+		return Response{}, false, err
+	}
 	_ = answer.Body.Close()
 	head.Keep(longHeadMemory)
 	isNotModified := answer.StatusCode == http.StatusNotModified
--- a/internal/entry/backends/limit.go
+++ b/internal/entry/backends/limit.go
@@ -56,6 +56,9 @@
 		if !isInformational(answer.StatusCode) {
 			return answer, http1.CheckResponse(answer)
 		}
+		if err := http1.CheckFields(answer.Header); err != nil {
+			return nil, err
+		}
 	}
 	return nil, errors.Wrapf(errTooLong, "above %d informational responses", maxInformational)
 }
--- a/internal/wire/http1/clients_test.go
+++ b/internal/wire/http1/clients_test.go
@@ -20,9 +20,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingstall/redwingstall"
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 	"github.com/redwingstall/redwingstall/pkg/backend"
 	"github.com/redwingstall/redwingstall/pkg/livelist"
 	"github.com/redwingstall/redwingstall/pkg/operator"
+	"github.com/redwingstall/redwingstall/pkg/peer"
 	"github.com/redwingstall/redwingstall/pkg/store"
 	"github.com/redwingstall/redwingstall/platform"
 )
@@ -61,12 +63,36 @@
 		_, err := livelist.NewClient(address, callTimeout).Instances(ctx)
 		return err
 	},
+	"healthCheck": func(ctx context.Context, address string) error {
+		_, err := platform.NewOwnerClient().Identify(ctx, address, "/health")
+		return err
+	},
+	"forward": func(ctx context.Context, address string) error { return forward(ctx, address, http.NoBody) },
 	"operator": func(ctx context.Context, address string) error {
 		_, err := operator.NewClient(address, "", nil).Query(ctx, "/x")
 		return err
 	},
 }
 
+// forward sends a request to another instance.
+func forward(ctx context.Context, address string, body io.Reader) error {
+	client, base := peer.NewClients(nil).Forwarder(address)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base, body)
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("status %d", response.StatusCode)
+	}
+	_, err = http1.ReadBody(response.Body, 1<<20)
+	return err
+}
+
 // checkEmpty returns the error of a call, unless it comes with a part of the response.
 func checkEmpty(err error, isEmpty bool) error {
 	if err != nil && !isEmpty {
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -1,5 +1,6 @@
-// Package http1 bounds what HTTP/1.1 clients read of a response. A faulty peer may send a
-// head or a body without end, until its caller closes the connection.
+// Package http1 decides what HTTP/1.1 clients take for a response, and how much they read of it. A
+// faulty peer may send a head or a body without end, until its caller closes the connection, break
+// off, or send what has no defined meaning.
 package http1
 
 import (
--- a/internal/wire/http1/invalid.go
+++ b/internal/wire/http1/invalid.go
@@ -1,9 +1,8 @@
 package http1
 
 import (
-	"context"
-	"net"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,7 +17,8 @@
 
 // CheckResponse returns ErrInvalid for a response that net/http accepts and that must not be used:
 // one with a status beyond 599 or below 200, which includes 101 since no client here asks for
-// another protocol, and a 204 that announces a body. Informational responses were skipped before.
+// another protocol, a 204 that announces a body, and one with an invalid field. Informational
+// responses were skipped before.
 func CheckResponse(response *http.Response) error {
 	status := response.StatusCode
 	if status < minStatus || status > maxStatus {
@@ -28,41 +28,18 @@
 	if status == http.StatusNoContent && (length != "" && length != "0" || len(response.TransferEncoding) > 0) {
 		return errors.Wrapf(ErrInvalid, "status %d with a body", status)
 	}
-	return nil
+	return CheckFields(response.Header)
 }
 
-// Transport is an http.Transport that returns an error for an invalid response. net/http hands the
-// connection of a 101 to the caller, whose context no longer ends a read from it.
-type Transport struct{ transport *http.Transport }
-
-// NewTransport returns a Transport that sends by another one, whose connections it makes [Conn]s.
-func NewTransport(t *http.Transport) Transport {
-	dial := t.DialContext
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
-	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
+// CheckFields returns ErrInvalid for header or trailer fields with a blank in a name, the only byte
+// that net/http accepts and no name may have. Recipients differ in what they read: "Content-Length :
+// 2" is a length to some of them. A proxy may remove a blank before the colon, but what else the
+// sender got wrong is unknown. (RFC 9112, section 5.1.)
+func CheckFields(fields http.Header) error {
+	for name := range fields {
+		if strings.Contains(name, " ") {
+			return errors.Wrapf(ErrInvalid, "field name %.40q", name)
 		}
-		return NewConn(c), nil
 	}
-	return Transport{t}
-}
-
-// CloseIdleConnections closes the idle connections.
-func (t Transport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
-
-// RoundTrip sends a request.
-func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.transport.RoundTrip(request)
-	if err != nil {
-		return nil, err
-	}
-	if err := CheckResponse(response); err != nil {
-		_ = response.Body.Close()
-		return nil, err
-	}
-	return response, nil
+	return nil
 }
--- a/internal/wire/http1/reset_test.go
+++ b/internal/wire/http1/reset_test.go
@@ -14,10 +14,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/redwingstall/redwingstall"
-	"github.com/redwingstall/redwingstall/internal/wire/http1"
 	"github.com/redwingstall/redwingstall/pkg/livelist"
 	"github.com/redwingstall/redwingstall/pkg/operator"
-	"github.com/redwingstall/redwingstall/pkg/peer"
 	"github.com/redwingstall/redwingstall/platform"
 )
 
@@ -41,18 +39,7 @@
 		return err
 	},
 	"forward": func(ctx context.Context, address string) error {
-		client, base := peer.NewClients(nil).Forwarder(address)
-		request, err := http.NewRequestWithContext(ctx, http.MethodPost, base, bytes.NewReader(make([]byte, longRequestBytes)))
-		if err != nil {
-			return err
-		}
-		response, err := client.Do(request)
-		if err != nil {
-			return err
-		}
-		defer response.Body.Close()
-		_, err = http1.ReadBody(response.Body, longRequestBytes)
-		return err
+		return forward(ctx, address, bytes.NewReader(make([]byte, longRequestBytes)))
 	},
 }
 
@@ -128,7 +115,7 @@
 	for name, call := range clientCalls {
 		t.Run("short/"+name, func(t *testing.T) {
 			address := listen(t, func(_ int, _ *http.Request, c net.Conn) {
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{}")
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nInstance-Id: i-1\r\n\r\n{}")
 				_ = c.Close()
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
--- a/pkg/backend/attempt.go
+++ b/pkg/backend/attempt.go
@@ -94,15 +94,16 @@
 	}
 	response, err := transport.RoundTrip(outgoing)
 	if err != nil {
-		return nil, classifyError(ctx, gotConnection.Load(), err)
+		err = classifyError(ctx, gotConnection.Load(), err)
+	} else {
+		response, err = checkResponse(response, request)
 	}
-	checked, err := checkResponse(response, request)
-	if err != nil && checked == nil && isOutOfSequence(err) {
+	if isOutOfSequence(err) {
 		// A response to another request, or an invalid one, leaves its connection in the pool
 		// if it has no body, so that the next request could also get a wrong response.
 		transport.CloseIdleConnections()
 	}
-	return checked, err
+	return response, err
 }
 
 // isOutOfSequence reports whether it is unknown which bytes the server sends next.
@@ -148,6 +149,8 @@
 // a connection was obtained, the request may have been written wholly or in part.
 func classifyError(ctx context.Context, gotConnection bool, err error) *AttemptError {
 	switch {
+	case errors.Is(err, http1.ErrInvalid):
+		return &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonInvalidResponse, Cause: err}
 	case !gotConnection && ctx.Err() != nil:
 		return &AttemptError{Outcome: redwingstall.OutcomeNotRun, Reason: ReasonTimeout, Cause: err}
 	case !gotConnection:
@@ -158,14 +161,10 @@
 	return &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonNoResponse, Cause: err}
 }
 
-// checkResponse returns an error for four kinds of response: an invalid one; a response to another
+// checkResponse returns an error for three kinds of response: a response to another
 // request; a known refusal by the server, whose outcome is "not run"; and a
 // close-delimited body, whose end cannot be distinguished from a lost connection.
 func checkResponse(response *http.Response, request Request) (*http.Response, error) {
-	if err := http1.CheckResponse(response); err != nil {
-		_ = response.Body.Close()
-		return nil, &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonInvalidResponse, Cause: err}
-	}
 	if response.Header.Get(redwingstall.HeaderRequestID) != request.ID {
 		_ = response.Body.Close()
 		return nil, &AttemptError{Outcome: redwingstall.OutcomeUnknown, Reason: ReasonRequestIDMismatch}
--- a/pkg/backend/client.go
+++ b/pkg/backend/client.go
@@ -24,7 +24,7 @@
 	// id, and one to an earlier order that comes late must not prove the release.
 	releaseClient      *http.Client
 	keepAlive          *keepAlive
-	singleUseTransport *http.Transport
+	singleUseTransport http1.Transport
 }
 
 var _ redwingstall.BackendServer = (*Client)(nil)
@@ -48,15 +48,15 @@
 	singleUse := newTransport(limit, true)
 	return &Client{
 		baseURL:            "http://" + address,
-		orderClient:        &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.NewTransport(newTransport(1, false))},
-		releaseClient:      &http.Client{CheckRedirect: http1.NoRedirects, Transport: http1.NewTransport(newTransport(1, true))},
+		orderClient:        &http.Client{CheckRedirect: http1.NoRedirects, Transport: newTransport(1, false)},
+		releaseClient:      &http.Client{CheckRedirect: http1.NoRedirects, Transport: newTransport(1, true)},
 		keepAlive:          newKeepAlive(limit, singleUse),
 		singleUseTransport: singleUse,
 	}
 }
 
-func newTransport(connections int, disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
+func newTransport(connections int, disableKeepAlives bool) http1.Transport {
+	return http1.NewTransport(&http.Transport{
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxConnsPerHost:        connections,
 		MaxIdleConnsPerHost:    connections,
@@ -64,7 +64,7 @@
 		DisableCompression:     true,
 		DisableKeepAlives:      disableKeepAlives,
 		MaxResponseHeaderBytes: http1.MaxHeadBytes,
-	}
+	})
 }
 
 // Close closes the idle connections. Connections in use are not affected.
--- a/pkg/backend/invalid_test.go
+++ b/pkg/backend/invalid_test.go
@@ -33,6 +33,12 @@
 		"noContentLength":  "HTTP/1.1 204 No Content\r\n" + fields + "Content-Length: 4\r\n\r\nbody",
 		"noContentChunked": "HTTP/1.1 204 No Content\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
 		"twoLengths":       "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
+		"blankName":        "HTTP/1.1 200 OK\r\nBad Name: x\r\n" + empty,
+		"blankLength":      "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n" + fields + "Content-Length: 4\r\n\r\nbody",
+		"blankChunked":     "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n" + empty,
+		"blankRefusal":     "HTTP/1.1 503 Unavailable\r\nRedwing-Refusal: shed\r\nBad Name: x\r\n" + empty,
+		"controlName":      "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n" + empty,
+		"informational":    "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + empty,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -54,3 +60,20 @@
 		})
 	}
 }
+
+// Guards against a body that ends in an invalid trailer and counts as complete.
+func TestInvalidTrailerEndsTheBodyWithAnError(t *testing.T) {
+	for trailer, isValid := range map[string]bool{"": true, "Name: x\r\n": true, "Bad Name: x\r\n": false, "Bad\x01Name: x\r\n": false} {
+		server := newRawServer(t, func(c net.Conn, _ func()) {
+			readRequest(c)
+			_, _ = io.WriteString(c, okResponse("r1", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+trailer+"\r\n"))
+		})
+		client := backend.NewClient(server.listener.Addr().String(), 10)
+		defer client.Close()
+		response, err := client.Do(t.Context(), chargeRequest("r1"))
+		require.NoError(t, err)
+		defer response.Body.Close()
+		_, err = io.ReadAll(response.Body)
+		require.Equal(t, isValid, err == nil, "trailer %q: %v", trailer, err)
+	}
+}
--- a/pkg/backend/keepalive.go
+++ b/pkg/backend/keepalive.go
@@ -2,8 +2,9 @@
 
 import (
 	"hash/maphash"
-	"net/http"
 	"sync"
+
+	"github.com/redwingstall/redwingstall/internal/wire/http1"
 )
 
 // maxRememberedIDs bounds the ids that are remembered of the requests to a server.
@@ -15,15 +16,15 @@
 type keepAlive struct {
 	connections int
 	// singleUse opens a connection for each repeated attempt.
-	singleUse *http.Transport
+	singleUse http1.Transport
 
 	mu sync.Mutex
 	// current keeps the connections of the requests in sent.
-	current *http.Transport
+	current http1.Transport
 	sent    map[uint64]bool
 }
 
-func newKeepAlive(connections int, singleUse *http.Transport) *keepAlive {
+func newKeepAlive(connections int, singleUse http1.Transport) *keepAlive {
 	return &keepAlive{connections: connections, singleUse: singleUse, current: newTransport(connections, false), sent: map[uint64]bool{}}
 }
 
@@ -31,7 +32,7 @@
 var idSeed = maphash.MakeSeed()
 
 // transportFor returns the transport for the next attempt at a request.
-func (k *keepAlive) transportFor(id string) *http.Transport {
+func (k *keepAlive) transportFor(id string) http1.Transport {
 	hash := maphash.String(idSeed, id)
 	k.mu.Lock()
 	defer k.mu.Unlock()
