Read a response that arrived before its server reset a streamed upload

Callers saw: 502, or another attempt within the budget, although a complete response had arrived. No broken response: found with the tests of what must still be served once a reset during an upload is an error.

Cause: writeRequest interrupted the reader when the upload failed for any reason. That is needed if the client's body cannot be read, since the server would wait for the rest. If the server does not take the rest, the reader finds what arrived before the reset, and then the end of the stream or the reset itself.

Change: only an error of the client's body interrupts the reader.

TestResetDuringUploadIsNoEndOfAResponse and TestUnreadableBodyInterruptsAttempt passed in the same runs.

--- a/internal/entry/backends/reset_test.go
+++ b/internal/entry/backends/reset_test.go
@@ -62,8 +62,9 @@
 	}
 }
 
-// A response without a length is complete when its stream ends, whatever becomes of the upload.
-func TestResponsesWithoutLengthAreComplete(t *testing.T) {
+// A response without a length is complete when its stream ends, and one with a length once that
+// many bytes have arrived.
+func TestCompleteResponsesAreServedWhateverBecomesOfTheUpload(t *testing.T) {
 	body := strings.Repeat("whole", 1000)
 	get := map[string]func() backends.Request{"get": func() backends.Request { return request("a") }}
 	for name, c := range map[string]struct {
@@ -85,7 +86,7 @@
 			<-t.Context().Done() // the rest of the upload stays unread
 			_ = c.Close()
 		}},
-		"resetAfterItsEnd": {map[string]func() backends.Request{"buffered": uploads["buffered"]}, func(_ *http.Request, c *net.TCPConn) {
+		"resetAfterItsEnd": {uploads, func(_ *http.Request, c *net.TCPConn) {
 			_, _ = io.WriteString(c, headWithoutLength+body)
 			_ = c.CloseWrite()
 			reset(c)
@@ -95,6 +96,10 @@
 			<-t.Context().Done()
 			_ = c.Close()
 		}},
+		"ofKnownLengthBeforeReset": {uploads, func(_ *http.Request, c *net.TCPConn) {
+			reply(c, "a", body)
+			reset(c)
+		}},
 	} {
 		for kind, request := range c.requests {
 			t.Run(name+"/"+kind, func(t *testing.T) {
--- a/internal/entry/backends/write.go
+++ b/internal/entry/backends/write.go
@@ -28,7 +28,8 @@
 }
 
 // writeRequest writes a request with a large body. If the rest of the body cannot be
-// read, it interrupts the connection, since the server would wait for it.
+// read, it interrupts the connection, since the server would wait for it. If the server does not
+// take the rest, its response may have arrived before.
 func writeRequest(c *connection, request Request) error {
 	head := encodeHead(request)
 	if request.BodyRest == nil {
@@ -37,16 +38,32 @@
 	if _, err := c.Write(head); err != nil {
 		return err
 	}
-	err := writeBody(c, request)
-	if err != nil {
+	rest := &checkedReader{source: request.BodyRest}
+	err := writeBody(c, request, rest)
+	if rest.err != nil {
 		_ = c.SetDeadline(time.Unix(1, 0))
 	}
 	return err
 }
 
+// checkedReader keeps the error that its source returned in place of its end.
+type checkedReader struct {
+	source io.Reader
+	err    error
+}
+
+// Read reads from the source.
+func (r *checkedReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
+}
+
 // writeBody writes a body whose rest is read while it is written.
-func writeBody(c *connection, request Request) error {
-	body := io.MultiReader(bytes.NewReader(request.Body), request.BodyRest)
+func writeBody(c *connection, request Request, rest io.Reader) error {
+	body := io.MultiReader(bytes.NewReader(request.Body), rest)
 	if request.BodyLength >= 0 {
 		_, err := io.Copy(c.Conn, body)
 		return err
