--- a/pkg/app/where_test.go
+++ b/pkg/app/where_test.go
@@ -1,8 +1,10 @@
 package app
 
 import (
+	"bufio"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -83,6 +85,45 @@
 	require.Equal(t, ExitUsage, code)
 }
 
+// Guards against a broken response that counts as an explanation.
+func TestWhereRejectsBrokenResponses(t *testing.T) {
+	const length, body = "Content-Length: 32\r\n", "\r\n{\"verdict\":\"send\",\"server\":\"s1\"}"
+	for name, c := range map[string]struct {
+		response string
+		code     int
+	}{
+		"whole":         {"HTTP/1.1 200 OK\r\n" + length + body, ExitSuccess},
+		"withoutLength": {"HTTP/1.1 200 OK\r\n" + body, ExitSuccess},
+		"status000":     {"HTTP/1.1 000 \r\n" + length + body, ExitUnknown},
+		"blankName":     {"HTTP/1.1 200 OK\r\nBad Name: x\r\n" + length + body, ExitUnknown},
+		"controlName":   {"HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n" + length + body, ExitUnknown},
+		"reset":         {"HTTP/1.1 200 OK\r\n" + body, ExitUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			go func() {
+				connection, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer connection.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+				}
+				_, _ = io.WriteString(connection, c.response)
+				if name == "reset" {
+					_ = connection.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+			stderr := &strings.Builder{}
+			code := Main([]string{"where", "--host", "h", "--path", "/x", "--instance", listener.Addr().String()}, io.Discard, stderr)
+			require.Equal(t, c.code, code, "%s", stderr)
+		})
+	}
+}
+
 // Guards against a table that leaves out what a decision was based on.
 func TestExplanationAsText(t *testing.T) {
 	out := &strings.Builder{}
