--- a/internal/entry/backends/write.go
+++ b/internal/entry/backends/write.go
@@ -28,8 +28,8 @@
 }
 
 // writeRequest writes a request with a large body. If the rest of the body cannot be
-// read, it interrupts the connection, since the server would wait for it. If the server does not
-// take the rest, its response may have arrived before.
+// read, it interrupts the connection, since the server would wait for it. A failed write does not
+// interrupt it, since the response may have arrived before.
 func writeRequest(c *connection, request Request) error {
 	head := encodeHead(request)
 	if request.BodyRest == nil {
@@ -46,7 +46,7 @@
 	return err
 }
 
-// checkedReader keeps the error that its source returned in place of its end.
+// checkedReader keeps the error of its source, unless that is io.EOF.
 type checkedReader struct {
 	source io.Reader
 	err    error
--- a/internal/wire/http1/invalid.go
+++ b/internal/wire/http1/invalid.go
@@ -32,9 +32,9 @@
 }
 
 // CheckFields returns ErrInvalid for header or trailer fields with a blank in a name, the only byte
-// that net/http accepts and no name may have. Recipients differ in what they read: "Content-Length :
-// 2" is a length to some of them. A proxy may remove a blank before the colon, but what else the
-// sender got wrong is unknown. (RFC 9112, section 5.1.)
+// that net/http accepts and no name may have. Recipients differ in what they read then:
+// "Content-Length : 2" is a length to some of them. A proxy may remove a blank before the colon, but
+// what else the sender got wrong is unknown. (RFC 9112, section 5.1.)
 func CheckFields(fields http.Header) error {
 	for name := range fields {
 		if strings.Contains(name, " ") {
--- a/internal/wire/http1/transport.go
+++ b/internal/wire/http1/transport.go
@@ -13,11 +13,12 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Transport is an http.Transport that returns an error for an invalid response. net/http hands the
-// connection of a 101 to the caller, whose context no longer ends a read from it.
+// Transport is an http.Transport that returns an error for an invalid response, and for a body that
+// ended with a lost connection. net/http hands the connection of a 101 to the caller, whose context no
+// longer ends a read from it.
 type Transport struct{ transport *http.Transport }
 
-// NewTransport returns a Transport that sends by another one, whose connections it makes [Conn]s.
+// NewTransport returns a Transport on top of t, whose connections become [Conn]s. Nothing else may use t.
 func NewTransport(t *http.Transport) Transport {
 	dial := t.DialContext
 	if dial == nil {
