--- a/internal/wire/http1/conn.go
+++ b/internal/wire/http1/conn.go
@@ -11,10 +11,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Conn is a connection to a server on which a lost connection is an error for the reader, whichever
-// call met it first. The kernel reports a reset to one call only. If that is the write of a request,
-// the next read returns io.EOF, which would be the end of a response without a length.
-// (RFC 9112, section 8.)
+// Conn is a connection to a server whose reader gets an error after a reset, also if a write met the
+// reset first. The kernel reports it to one call only. If that is the write of a request, the next
+// read returns io.EOF, which would be the end of a response without a length. (RFC 9112, section 8.)
 type Conn struct {
 	net.Conn
 
--- a/internal/wire/http1/http1.go
+++ b/internal/wire/http1/http1.go
@@ -1,6 +1,6 @@
-// Package http1 decides what HTTP/1.1 clients take for a response, and how much they read of it. A
-// faulty peer may send a head or a body without end, until its caller closes the connection, break
-// off, or send what has no defined meaning.
+// Package http1 decides what counts as a response for HTTP/1.1 clients, and bounds what they read of
+// it. A faulty peer may send a head or a body without end, reset the connection in the middle of a
+// body, or send a response that has no defined meaning.
 package http1
 
 import (
--- a/internal/wire/http1/transport.go
+++ b/internal/wire/http1/transport.go
@@ -39,9 +39,9 @@
 
 // RoundTrip sends a request. The body of the response ends in ErrInvalid if its trailer is invalid.
 func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	hints := &informational{}
-	hints.left.Store(cmp.Or(t.transport.MaxResponseHeaderBytes, MaxHeadBytes))
-	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{Got1xxResponse: hints.check})
+	early := &informational{}
+	early.left.Store(cmp.Or(t.transport.MaxResponseHeaderBytes, MaxHeadBytes))
+	traced := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{Got1xxResponse: early.check})
 	response, err := t.transport.RoundTrip(request.WithContext(traced))
 	if err != nil {
 		return nil, err
@@ -58,8 +58,8 @@
 
 // informational checks the informational responses before a response.
 type informational struct {
-	// left is how many bytes they may still have. net/http bounds each of them, but not their
-	// sum, if they are checked.
+	// left is how many bytes they may still have. net/http does not bound their sum if
+	// ClientTrace.Got1xxResponse is set.
 	left atomic.Int64
 }
 
