--- a/review/rig3/slow_download.go
+++ b/review/rig3/slow_download.go
@@ -34,7 +34,7 @@
 	receiveBytes = 64 << 10
 )
 
-// slowDownload lets four clients read a download over six seconds, and stops their machine meanwhile.
+// slowDownload lets three clients read a download over six seconds, and stops their machine meanwhile.
 func slowDownload(r *record, hasTrouble bool) (isBroken bool, err error) {
 	f, err := newFleet(ancoar, r)
 	if err != nil {
@@ -72,7 +72,7 @@
 	time.Sleep(6 * time.Second) // well over contact_ms
 	m := f.machines[0]
 	var clients sync.WaitGroup
-	results := make([]downloadResult, 4)
+	results := make([]downloadResult, 3)
 	sentAt := time.Now()
 	for n := range results {
 		clients.Go(func() { results[n] = download(m, fmt.Sprintf("d%015x", n), body) })
