--- a/review/rig3/lost_registration.go
+++ b/review/rig3/lost_registration.go
@@ -8,9 +8,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +26,8 @@
 	lossShare = 0.35                    // platform_lost, x
 	lateness  = 3 * time.Second         // done 1 to 6 s later
 
+	machineCount = 8
+
 	warmupRate    = 5.7 // warmup_per_s of the service
 	warmupOverrun = 1.5
 	warmupSlack   = 5.0
@@ -41,6 +46,9 @@
 	seen   map[string]bool
 	writes int
 	lost   int
+	// hits is how many machines lose an answer, and isRandom set if any writes do.
+	hits     int
+	isRandom bool
 }
 
 func (s *lossyStore) ServeHTTP(w http.ResponseWriter, q *http.Request) {
@@ -67,7 +75,8 @@
 	s.store.ServeHTTP(w, q)
 }
 
-// isLost chooses the first transaction that names a machine, within the share of all writes.
+// isLost chooses the first transaction that names a machine, of as many machines as hits says. With
+// LOST=random it draws each write by itself, with the share that the site names.
 func (s *lossyStore) isLost(path string, body []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,7 +84,14 @@
 		return false
 	}
 	s.writes++
-	if !strings.HasSuffix(path, "/kv-txn") {
+	if s.isRandom {
+		isLost := rand.Float64() < lossShare
+		if isLost {
+			s.lost++
+		}
+		return isLost
+	}
+	if !strings.HasSuffix(path, "/kv-txn") || s.lost == s.hits {
 		return false
 	}
 	_, rest, found := strings.Cut(string(body), "redwingstall/instance/")
@@ -97,7 +113,10 @@
 		return false, err
 	}
 	defer f.close()
-	lossy := &lossyStore{store: f.store, record: r, seen: map[string]bool{}}
+	lossy := &lossyStore{store: f.store, record: r, seen: map[string]bool{}, hits: machineCount, isRandom: os.Getenv("LOST") == "random"}
+	if n, err := strconv.Atoi(os.Getenv("LOST")); err == nil {
+		lossy.hits = n
+	}
 	f.handler = lossy
 	if hasTrouble {
 		lossy.until = time.Now().Add(lossTime)
@@ -118,7 +137,7 @@
 			return false, err
 		}
 	}
-	for range 8 {
+	for range machineCount {
 		if _, err := f.addMachine(); err != nil {
 			return false, err
 		}
@@ -133,7 +152,7 @@
 	r.printf("store: %d of %d writes were not answered", lossy.lost, lossy.writes)
 	share := float64(lossy.lost) / max(float64(lossy.writes), 1)
 	lossy.mu.Unlock()
-	if share > lossShare {
+	if share > lossShare && !lossy.isRandom {
 		return false, errors.New("more answers were lost than the site names")
 	}
 	r.printf("store: %d of %d machines are registered", f.registered(), len(f.machines))
