--- a/review/rig3/lost_registration.go
+++ b/review/rig3/lost_registration.go
@@ -27,6 +27,8 @@
 	lateness  = 3 * time.Second         // done 1 to 6 s later
 
 	machineCount = 8
+	// warmCount is the number of upstreams at the start. Each of the two that join is at most a quarter.
+	warmCount = 4
 
 	warmupRate    = 5.7 // warmup_per_s of the service
 	warmupOverrun = 1.5
@@ -132,7 +134,7 @@
 		}},
 		Limits: redwingstall.CallerLimits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	})
-	for n := range 3 {
+	for n := range warmCount {
 		if err := f.addUpstream(n, 0); err != nil {
 			return false, err
 		}
@@ -164,14 +166,15 @@
 	time.Sleep(5 * time.Second)
 	cold := []*upstream{}
 	for n := range 2 {
-		if err := f.addUpstream(3+n, 3*time.Second); err != nil {
+		if err := f.addUpstream(warmCount+n, 3*time.Second); err != nil {
 			return false, err
 		}
-		u := f.upstreams[3+n]
+		u := f.upstreams[warmCount+n]
 		r.printf("upstream %s starts cold: %.1f requests a second, %.2f allowed by the rule", u.id, warmupRate, warmupRate*warmupOverrun+warmupSlack)
 		cold = append(cold, u)
 		time.Sleep(5 * time.Second)
 	}
+	r.printf("store: %d of %d machines are registered", f.registered(), len(f.machines))
 	cancel()
 	load.wait()
 	for _, u := range cold {
